--- a/crates/daemon/examples/fleet/child.rs
+++ b/crates/daemon/examples/fleet/child.rs
@@ -51,9 +51,9 @@
         let mut command = Command::new(program);
         command.arg("--config").arg(config);
         command.stdin(Stdio::null()).stdout(Stdio::null());
-        let started = command.stderr(Stdio::piped()).spawn();
+        let started = command.stdout(Stdio::piped()).spawn();
         let mut process = started.map_err(|e| format!("start {}: {e}", program.display()))?;
-        let log = process.stderr.take().expect("stderr is piped");
+        let log = process.stdout.take().expect("stdout is piped");
         let name = vm.clone();
         std::thread::spawn(move || {
             for line in BufReader::new(log).lines().map_while(Result::ok) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logging;
 pub mod lookup;
 pub mod metrics;
+pub mod on_platform;
 pub mod operators;
 pub mod ports;
 pub mod recording;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard output.
 
 use flexi_logger::{FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
 use log::LevelFilter;
@@ -19,7 +19,7 @@
     };
     let spec = LogSpecification::builder().default(filter).build();
     Logger::with(spec)
-        .log_to_stderr()
+        .log_to_stdout()
         .format(flexi_logger::json_format)
         .start()
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,7 @@
 
 use heatherknot_daemon::config::Config;
 use heatherknot_daemon::signals::StopSignals;
-use heatherknot_daemon::{logging, start};
+use heatherknot_daemon::{logging, on_platform, start};
 use lexopt::prelude::*;
 use monoio::{LegacyDriver, RuntimeBuilder};
 
@@ -13,9 +13,12 @@
 heatherknotd: the daemon of an entry VM
 
 Usage: heatherknotd --config FILE [--check]
+       heatherknotd --platform [--config FILE] [--check]
 
 Options:
   --config FILE   read start settings from FILE (JSON)
+  --platform      take routes and backend servers from the platform's store; FILE is then
+                  the one that HEATHERKNOT_NODE_FILE names, unless --config is given
   --check         check the start settings and exit
   -h, --help      print this text
   -V, --version   print the version
@@ -25,6 +28,8 @@
 enum Command {
     Run { config: PathBuf },
     Check { config: PathBuf },
+    RunOnPlatform { config: PathBuf },
+    CheckOnPlatform { config: PathBuf },
     Print(String),
 }
 
@@ -41,11 +46,13 @@
 fn parse_args() -> Result<Command, lexopt::Error> {
     let mut config = None;
     let mut check = false;
+    let mut platform = false;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => config = Some(PathBuf::from(parser.value()?)),
             Long("check") => check = true,
+            Long("platform") => platform = true,
             Short('h') | Long("help") => return Ok(Command::Print(HELP.to_owned())),
             Short('V') | Long("version") => {
                 let version = concat!("heatherknotd ", env!("CARGO_PKG_VERSION"), "\n");
@@ -54,11 +61,13 @@
             _ => return Err(arg.unexpected()),
         }
     }
+    let config = config.or_else(|| platform.then(on_platform::settings_path).flatten());
     let config = config.ok_or("--config FILE is missing; see --help")?;
-    Ok(if check {
-        Command::Check { config }
-    } else {
-        Command::Run { config }
+    Ok(match (platform, check) {
+        (false, false) => Command::Run { config },
+        (false, true) => Command::Check { config },
+        (true, false) => Command::RunOnPlatform { config },
+        (true, true) => Command::CheckOnPlatform { config },
     })
 }
 
@@ -73,6 +82,12 @@
             println!("{} is fine", config.display());
             Ok(())
         }
+        Command::CheckOnPlatform { config } => {
+            on_platform::load(&config)?;
+            println!("{} is fine", config.display());
+            Ok(())
+        }
+        Command::RunOnPlatform { config } => on_platform::run(&config),
         Command::Run { config } => {
             let cfg = Config::load(&config).map_err(|e| e.to_string())?;
             let _logger = logging::start(cfg.log_level).map_err(|e| e.to_string())?;
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,11 +1,11 @@
-//! Planned stops: SIGTERM and SIGINT.
+//! Signals: SIGTERM and SIGINT for a planned stop, SIGHUP for changed settings.
 
 use std::io;
 use std::os::unix::net::UnixStream as StdUnixStream;
 
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 /// SIGTERM and SIGINT, which end the process no more once this is made.
 #[derive(Debug)]
@@ -44,3 +44,42 @@
         read.map(|_| ())
     }
 }
+
+/// SIGHUP, which ends the process no more once this is made.
+#[derive(Debug)]
+pub struct ReloadSignal {
+    rx: StdUnixStream,
+}
+
+impl ReloadSignal {
+    /// Sets the signal handler.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the socket pair can't be made or the handler can't be set.
+    pub fn register() -> io::Result<Self> {
+        let (rx, tx) = StdUnixStream::pair()?;
+        tx.set_nonblocking(true)?;
+        rx.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(SIGHUP, tx)?;
+        Ok(Self { rx })
+    }
+
+    /// Calls `reload` for each signal, for as long as the process runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the runtime can't read the socket pair.
+    pub async fn each(self, reload: impl Fn()) -> io::Result<()> {
+        let mut rx = UnixStream::from_std(self.rx)?;
+        let mut buf = vec![0_u8; 16];
+        loop {
+            let (read, returned) = rx.read(buf).await;
+            if read? == 0 {
+                return Ok(());
+            }
+            buf = returned;
+            reload();
+        }
+    }
+}
--- a/crates/daemon/tests/process_rules.rs
+++ b/crates/daemon/tests/process_rules.rs
@@ -43,10 +43,10 @@
         .arg("--config")
         .arg(&config)
         .stdout(Stdio::null())
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .expect("the daemon's binary");
-    let mut log = BufReader::new(child.stderr.take().expect("the daemon's log"));
+    let mut log = BufReader::new(child.stdout.take().expect("the daemon's log"));
     let callers = callers_address(&mut log);
     // The rest of the log is read, so that the daemon never waits for room to write it.
     std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -56,10 +56,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_heatherknotd"))
             .arg("--config")
             .arg(&file)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the daemon starts");
-        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let listening = lines
             .by_ref()
             .map_while(Result::ok)
--- /dev/null
+++ b/crates/edge/src/attempt.rs
@@ -0,0 +1,220 @@
+//! One send of a request to one backend server.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use heatherknot_http::{Body, Handed, Response, SendError, SendOptions};
+use heatherknot_types::prelude::*;
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+use crate::call::Call;
+use crate::choose::Prospect;
+use crate::context::EdgeContext;
+use crate::upstream::ServerLoad;
+
+/// The longest response body that is read whole before the caller gets its first byte. A
+/// short answer that breaks off can then still be had from another server.
+const HELD_ANSWER: u64 = 64 * 1024;
+
+/// What came of one send.
+pub(crate) enum Attempt {
+    /// An answer for the caller.
+    Answer(Response),
+    /// The backend server's own answer that it failed.
+    Failure(Response),
+    /// The backend server did not run the request and never will.
+    NotRun(&'static str),
+    /// No byte of the request reached the backend server.
+    NotSent(&'static str),
+    /// The backend server may have run the request; there is no usable answer.
+    Unknown(&'static str),
+    /// The time ran out.
+    Late,
+    /// The caller has disconnected.
+    CallerGone,
+}
+
+impl Attempt {
+    /// Gives the value of the metric's label.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Attempt::Answer(_) => "answered",
+            Attempt::Failure(_) => "failed",
+            Attempt::NotRun(_) => "not-run",
+            Attempt::NotSent(_) => "not-sent",
+            Attempt::Unknown(_) => "unknown",
+            Attempt::Late => "late",
+            Attempt::CallerGone => "caller-gone",
+        }
+    }
+}
+
+/// Sends a request to the backend server of `prospect`.
+pub(crate) async fn send(cx: &EdgeContext, call: &mut Call, prospect: &Prospect) -> Attempt {
+    let Some(body) = call.body.take() else {
+        return Attempt::NotSent("its body was sent before");
+    };
+    let cancelled = call.cancelled.wait();
+    let call = &*call;
+    let sending = pin!(exchange(cx, call, body, prospect));
+    match select(sending, cancelled).await {
+        Either::Left((attempt, _)) => attempt,
+        // Dropping the exchange closes its connection, by which the server stops its work.
+        Either::Right(_) => Attempt::CallerGone,
+    }
+}
+
+async fn exchange(cx: &EdgeContext, call: &Call, body: Body, prospect: &Prospect) -> Attempt {
+    let upstream = &prospect.upstream;
+    let sent = cx.now();
+    let mut head = call.head.clone();
+    let names = &cx.dialect.headers;
+    let left = call.left(sent).0;
+    head.headers
+        .insert(&names.time_left, HeaderValue::from(left));
+    match HeaderValue::from_str(upstream.id.as_str()) {
+        Ok(id) => drop(head.headers.insert(&names.expected_server, id)),
+        Err(_) => return Attempt::NotSent("its server's identifier is no header value"),
+    }
+    let flight = upstream.begin();
+    let options = SendOptions {
+        deadline: Some(call.deadline),
+        idempotent: call.route.idempotent,
+        new_connection: false,
+    };
+    let response = match upstream.pool.send(head, body, options).await {
+        Ok(response) => response,
+        Err(error) => return failed(cx, call, prospect, &error),
+    };
+    note_load(cx, prospect, &response.headers);
+    if let Some(attempt) = refused(cx, prospect, &response) {
+        return attempt;
+    }
+    if !is_own_answer(cx, &response) {
+        upstream.note_refusal();
+        return Attempt::Unknown("the response is not the server's own");
+    }
+    let held = match hold(call, cx, response).await {
+        Ok(response) => response,
+        Err(cause) => {
+            upstream.note_refusal();
+            return Attempt::Unknown(cause);
+        }
+    };
+    if !held.status.is_success() {
+        if held.status.is_server_error() {
+            upstream.note_refusal();
+            return Attempt::Failure(held);
+        }
+        return Attempt::Answer(held);
+    }
+    learn(cx, call, prospect, cx.now().since(sent));
+    let Response {
+        status,
+        headers,
+        body,
+    } = held;
+    Attempt::Answer(Response {
+        status,
+        headers,
+        body: body.with_guard(flight),
+    })
+}
+
+/// Reads a short body whole; a longer one is passed on as it comes.
+async fn hold(call: &Call, cx: &EdgeContext, response: Response) -> Result<Response, &'static str> {
+    let Response {
+        status,
+        headers,
+        body,
+    } = response;
+    if body.known_len().is_none_or(|len| len > HELD_ANSWER) {
+        return Ok(Response {
+            status,
+            headers,
+            body,
+        });
+    }
+    let left = Duration::from_millis(call.left(cx.now()).0.max(1));
+    match monoio::time::timeout(left, body.collect(HELD_ANSWER as usize)).await {
+        Ok(Ok(bytes)) => {
+            let body = Body::full(bytes);
+            Ok(Response {
+                status,
+                headers,
+                body,
+            })
+        }
+        Ok(Err(_)) => Err("the response broke off"),
+        Err(_) => Err("the response did not end in time"),
+    }
+}
+
+/// Tells a response by which the server says that it did not run the request.
+fn refused(cx: &EdgeContext, prospect: &Prospect, response: &Response) -> Option<Attempt> {
+    let upstream = &prospect.upstream;
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        // The server is gone and another one answers at its address.
+        log::info!(upstream:% = upstream.id, address:% = upstream.pool.address(); "another server answers at a backend server's address");
+        upstream.replaced.set(true);
+        return Some(Attempt::NotRun("another server has the address"));
+    }
+    if response.headers.contains_key(&cx.dialect.headers.not_run) {
+        upstream.note_refusal();
+        return Some(Attempt::NotRun("the server refused it unrun"));
+    }
+    None
+}
+
+/// Says whether a response was made by a backend server, as its signature shows. A response
+/// without one may be an error page of something on the way, or half of another response.
+fn is_own_answer(cx: &EdgeContext, response: &Response) -> bool {
+    let signed = response.headers.contains_key(&cx.dialect.headers.signature);
+    signed || !response.status.is_success()
+}
+
+fn note_load(cx: &EdgeContext, prospect: &Prospect, headers: &HeaderMap) {
+    let told = headers.get(&cx.dialect.headers.server_load);
+    let load = told.and_then(|v| ServerLoad::parse(v.to_str().ok()?));
+    if let Some(load) = load {
+        prospect.upstream.note_load(load);
+    }
+}
+
+fn failed(cx: &EdgeContext, call: &Call, prospect: &Prospect, error: &SendError) -> Attempt {
+    let upstream = &prospect.upstream;
+    let now = cx.now();
+    log::info!(id = call.id(cx), upstream:% = upstream.id, error:% = error; "a send failed");
+    if matches!(error, SendError::RequestBody { .. }) {
+        return match error.handed() {
+            Handed::NotSent => Attempt::NotSent("the caller's body broke off"),
+            Handed::MaySent => Attempt::Unknown("the caller's body broke off"),
+        };
+    }
+    // A kept connection that was closed by the server says nothing about the server.
+    if !error.is_stale_connection() && !matches!(error, SendError::Expired { .. }) {
+        upstream.note_failure(now);
+    }
+    match (error.handed(), now >= call.deadline) {
+        (Handed::NotSent, _) => Attempt::NotSent("the server could not be reached"),
+        (Handed::MaySent, true) => Attempt::Late,
+        (Handed::MaySent, false) => Attempt::Unknown("the connection to the server broke"),
+    }
+}
+
+/// Takes in how long a good answer took.
+fn learn(cx: &EdgeContext, call: &Call, prospect: &Prospect, took: Millis) {
+    let upstream = &prospect.upstream;
+    let kept = upstream.keeps(call.object, cx.now());
+    if prospect.free {
+        call.state.pace.note(&upstream.region, kept, took);
+    }
+    let expected = prospect.work.max(1.0) / upstream.slowness();
+    let ratio = if prospect.free {
+        took.0 as f64 / expected
+    } else {
+        upstream.slowness()
+    };
+    upstream.note_answer(call.object, ratio, cx.now());
+}
--- /dev/null
+++ b/crates/edge/src/call.rs
@@ -0,0 +1,142 @@
+//! One request of a caller while this VM works on it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use heatherknot_http::{Body, BodyError, Flag, Request, RequestHead};
+use heatherknot_types::hash;
+use heatherknot_types::prelude::*;
+use http::header::HOST;
+
+use crate::catalog::{Catalog, Route};
+use crate::context::{EdgeContext, ServiceState};
+
+/// The longest request body that is held in memory, so that it can be sent a second time.
+const HELD_BODY: usize = 64 * 1024;
+/// The time for a request whose caller states none.
+const DEFAULT_TIME: Millis = Millis(30_000);
+
+/// One request of a caller.
+pub(crate) struct Call {
+    /// The route that it takes.
+    pub(crate) route: Arc<Route>,
+    /// The configuration that chose the route.
+    pub(crate) catalog: Rc<Catalog>,
+    /// The service that runs it.
+    pub(crate) service: ServiceName,
+    /// What is learned of that service.
+    pub(crate) state: Rc<ServiceState>,
+    /// Its head.
+    pub(crate) head: RequestHead,
+    /// Its body.
+    pub(crate) body: HeldBody,
+    /// Its object, or its identifier where it has none.
+    pub(crate) object: u64,
+    /// When its head was read.
+    pub(crate) started: Millis,
+    /// When it gets an answer at the latest.
+    pub(crate) deadline: Millis,
+    /// Fires when the caller disconnects.
+    pub(crate) cancelled: Flag,
+}
+
+/// A request body.
+pub(crate) enum HeldBody {
+    /// All of it is here.
+    Whole(Bytes),
+    /// It is read while it is sent, so it can be sent once only.
+    Once(Option<Body>),
+}
+
+impl HeldBody {
+    async fn hold(body: Body) -> Result<Self, BodyError> {
+        match body.known_len() {
+            Some(len) if len <= HELD_BODY as u64 => Ok(Self::Whole(body.collect(HELD_BODY).await?)),
+            _ => Ok(Self::Once(Some(body))),
+        }
+    }
+
+    /// Gives the body for one send, or nothing where it was sent before.
+    pub(crate) fn take(&mut self) -> Option<Body> {
+        match self {
+            HeldBody::Whole(bytes) => Some(Body::full(bytes.clone())),
+            HeldBody::Once(body) => body.take(),
+        }
+    }
+}
+
+impl Call {
+    /// Gives the identifier that the caller gave the request, for log lines.
+    pub(crate) fn id<'a>(&'a self, cx: &EdgeContext) -> &'a str {
+        let id = self.head.headers.get(&cx.dialect.headers.request_id);
+        id.and_then(|id| id.to_str().ok()).unwrap_or("")
+    }
+
+    /// Gives the time left at `now`.
+    pub(crate) fn left(&self, now: Millis) -> Millis {
+        self.deadline.since(now)
+    }
+}
+
+/// Why a request gets no backend server.
+pub(crate) enum Unroutable {
+    /// No configuration is known yet.
+    NoCatalog,
+    /// No route takes it.
+    NoRoute,
+    /// Its route leads to no service.
+    NoTarget,
+    /// Its body could not be read.
+    Body(BodyError),
+}
+
+/// Finds the route of a request and reads its body, where that is short.
+pub(crate) async fn admit(cx: &EdgeContext, req: Request) -> Result<Call, Unroutable> {
+    let started = cx.now();
+    let catalog = cx.world.borrow().catalog().cloned();
+    let catalog = catalog.ok_or(Unroutable::NoCatalog)?;
+    let host = req.head.headers.get(HOST).and_then(|v| v.to_str().ok());
+    let route = catalog.route(host.unwrap_or(""), req.head.path()).cloned();
+    let route = route.ok_or(Unroutable::NoRoute)?;
+    let target = match route.targets.as_slice() {
+        [only] => Some(only),
+        targets => {
+            let mut splits = cx.splits.borrow_mut();
+            splits
+                .entry(Arc::clone(&route.name))
+                .or_default()
+                .next(targets)
+        }
+    };
+    let service = target.ok_or(Unroutable::NoTarget)?.service.clone();
+    let state = cx.service(&service);
+    state.budget.borrow_mut().request(started);
+    let headers = &req.head.headers;
+    let stated = headers.get(&cx.dialect.headers.time_left);
+    let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
+    let patience = stated.map_or(DEFAULT_TIME, Millis).min(route.timeout);
+    let object = object_of(cx, &route, &req.head);
+    let body = HeldBody::hold(req.body).await.map_err(Unroutable::Body)?;
+    Ok(Call {
+        route,
+        catalog,
+        service,
+        state,
+        head: req.head,
+        body,
+        object,
+        started,
+        deadline: started + patience,
+        cancelled: req.cancelled,
+    })
+}
+
+/// Gives a number for the request's object. One without an object gets a number of its own,
+/// which spreads such requests evenly.
+fn object_of(cx: &EdgeContext, route: &Route, head: &RequestHead) -> u64 {
+    match (cx.dialect.object)(&head.headers) {
+        Some(object) => hash::rendezvous(&[route.name.as_bytes()], &object),
+        None => cx.rng.borrow_mut().u64(..),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/catalog.rs
@@ -0,0 +1,120 @@
+//! The routes and services in force, and which route a request takes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use heatherknot_types::prelude::*;
+
+/// One accepted configuration: every route and service at one version.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// The version; a higher one replaces a lower one.
+    pub version: u64,
+    /// Routes by host, those with the longest prefix first.
+    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    services: HashMap<ServiceName, ServiceSpec>,
+}
+
+/// Which requests go where, and how they are treated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, unique in a catalog.
+    pub name: Arc<str>,
+    /// The host that requests name.
+    pub host: Arc<str>,
+    /// The beginning of the paths, with a slash at its end.
+    pub prefix: Arc<str>,
+    /// The services that share the requests, in proportion to their weights.
+    pub targets: Vec<Target>,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// The most backend servers that one request may be sent to.
+    pub attempts: u32,
+    /// The longest time that a caller is kept waiting.
+    pub timeout: Millis,
+    /// The time within which an answer is worth most.
+    pub latency_target: Millis,
+    /// The rank among routes of one service; zero is the most urgent.
+    pub priority: u32,
+    /// The only regions that may run the requests; empty for any.
+    pub home_regions: Vec<RegionName>,
+    /// Whether a backend server that lately handled an object is faster at it.
+    pub sticky: bool,
+}
+
+/// One of the services that share a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to those of the other targets.
+    pub weight: u32,
+}
+
+/// What is configured of one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// The service.
+    pub name: ServiceName,
+    /// The path that answers whether a backend server is healthy.
+    pub health_path: Arc<str>,
+    /// The connections that a backend server accepts from all VMs together.
+    pub max_connections: usize,
+    /// How long a backend server stays cold after its start.
+    pub cold_time: Millis,
+    /// The requests a second that a cold backend server stands, from all VMs together.
+    pub cold_rate: f64,
+}
+
+impl Catalog {
+    /// Makes a catalog from its parts.
+    pub fn new(version: u64, routes: Vec<Route>, services: Vec<ServiceSpec>) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let host = Arc::clone(&route.host);
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
+        Self {
+            version,
+            routes: by_host,
+            services,
+        }
+    }
+
+    /// Gives the route of the host with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(without_port(host))?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Gives what is configured of a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Gives every service.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
+    /// Gives the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+
+    /// Says whether some route has this host.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.routes.contains_key(without_port(host))
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/context.rs
@@ -0,0 +1,106 @@
+//! What all tasks of one daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use heatherknot_http::Flag;
+use heatherknot_peer::{Membership, PeerNet};
+use heatherknot_store::port::Store;
+use heatherknot_types::prelude::*;
+use prometheus::Registry;
+
+use crate::budget::RetryBudget;
+use crate::dialect::Dialect;
+use crate::feed::Feed;
+use crate::metrics::EdgeMetrics;
+use crate::pace::Pace;
+use crate::settings::{Bounds, EdgeConfig};
+use crate::split::Split;
+use crate::world::World;
+
+/// What all tasks of one daemon share. Tasks run on one thread; no borrow is held across an
+/// `await`.
+pub struct EdgeContext {
+    /// The start settings.
+    pub cfg: EdgeConfig,
+    /// The bounds that the deployment states.
+    pub bounds: Bounds,
+    /// The platform's names.
+    pub dialect: Dialect,
+    /// This VM's region.
+    pub region: RegionName,
+    /// This run of the daemon.
+    pub incarnation: Incarnation,
+    /// The time.
+    pub timer: Timer,
+    /// Chance.
+    pub rng: RefCell<fastrand::Rng>,
+    /// What is believed of routes and backend servers.
+    pub world: Rc<RefCell<World>>,
+    /// The copy of the store's keys, and where it comes from.
+    pub feed: Rc<Feed>,
+    /// The platform's store.
+    pub store: Store,
+    /// Which VMs there are.
+    pub membership: Membership,
+    /// The connections with peers.
+    pub net: PeerNet,
+    /// The most VMs that were ever known at once.
+    pub most_vms: Cell<usize>,
+    /// What is learned of each service.
+    pub services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
+    /// How requests of routes with several targets were shared, by route.
+    pub splits: RefCell<HashMap<Arc<str>, Split>>,
+    /// Metrics.
+    pub metrics: EdgeMetrics,
+    /// Where metrics are read.
+    pub registry: Registry,
+    /// Fires when a planned stop begins.
+    pub leaving: Flag,
+    /// Fires when no more connections are taken.
+    pub stop: Flag,
+}
+
+/// What is learned of one service.
+pub struct ServiceState {
+    /// How long its backend servers take.
+    pub pace: Pace,
+    /// The budget of further sends.
+    pub budget: RefCell<RetryBudget>,
+    /// When each cold backend server may get its next request from this VM.
+    pub cold_next: RefCell<HashMap<UpstreamName, Millis>>,
+}
+
+impl EdgeContext {
+    /// Gives the current time.
+    pub fn now(&self) -> Millis {
+        self.timer.now()
+    }
+
+    /// Gives what is learned of a service.
+    pub fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
+        let mut services = self.services.borrow_mut();
+        let state = services.entry(name.clone()).or_insert_with(|| {
+            Rc::new(ServiceState {
+                pace: Pace::default(),
+                budget: RefCell::new(RetryBudget::new(&self.bounds)),
+                cold_next: RefCell::default(),
+            })
+        });
+        Rc::clone(state)
+    }
+
+    /// Gives the number of VMs that may be sending, which may be more than are in touch.
+    pub fn vms_that_may_send(&self) -> usize {
+        let seen = self.most_vms.get().max(1);
+        // VMs that were added out of this one's sight: a quarter more, and one at least.
+        seen + (seen / 4).max(1)
+    }
+
+    /// Says whether this daemon takes requests and can route them.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.is_fired() && self.world.borrow().catalog().is_some()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/daemon.rs
@@ -0,0 +1,335 @@
+//! Starts a daemon on the platform, runs it, and stops it as planned.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use heatherknot_http::{Flag, Handler, Limits, LivenessOptions, PoolConfig, Response, serve};
+use heatherknot_peer::{
+    Membership, MembershipContext, MembershipHooks, MembershipOptions, MethodTable, PeerContext,
+    PeerError, PeerId, PeerNet, PeerOptions, Secret,
+};
+use heatherknot_store::port::Store;
+use heatherknot_types::prelude::*;
+use http::StatusCode;
+use monoio::net::{ListenerOpts, TcpListener};
+use prometheus::{Registry, TextEncoder};
+use snafu::{ResultExt, Snafu};
+
+use crate::context::EdgeContext;
+use crate::dialect::Dialect;
+use crate::feed::Feed;
+use crate::metrics::EdgeMetrics;
+use crate::settings::{Bounds, EdgeConfig};
+use crate::world::World;
+use crate::{forward, lookup, peer_feed, presence, reply, stop};
+
+/// How often idle connections are looked through, and missing backend servers.
+const TICK: Millis = Millis(250);
+/// Ticks for each look through idle connections.
+const TICKS_A_SWEEP: u64 = 8;
+/// When a caller may repeat a look-up that found no VM.
+const LOOKUP_RETURN: Millis = Millis(300);
+/// The longest message between daemons: the copy of the store's keys of a whole deployment.
+const MAX_PEER_MESSAGE: usize = 4 << 20;
+
+/// Why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[snafu(display("listen for {purpose} on {address}: {source}"))]
+    Listen {
+        /// Who was to connect there.
+        purpose: &'static str,
+        /// The address in the start settings.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The address for peers can't be listened on.
+    #[snafu(display("listen for peers: {source}"))]
+    Peers {
+        /// What the peer package said.
+        source: PeerError,
+    },
+    /// Two parts of the daemon use one metric's name.
+    #[snafu(display("register metrics: {source}"))]
+    Metrics {
+        /// What the registry said.
+        source: prometheus::Error,
+    },
+    /// The region of this VM's failure domain is not stated.
+    #[snafu(display("start settings: key 'domains': no region for this VM's domain '{domain}'"))]
+    NoRegion {
+        /// The failure domain.
+        domain: DomainName,
+    },
+}
+
+/// What a platform's adapter supplies.
+pub struct Platform {
+    /// Names and formats.
+    pub dialect: Dialect,
+    /// The store.
+    pub store: Store,
+}
+
+/// Runs a daemon until `until` is ready, and then stops it as planned.
+///
+/// # Errors
+///
+/// Fails where the daemon can't listen on its addresses.
+///
+/// # Panics
+///
+/// Panics outside a `monoio` runtime with a timer.
+pub async fn run(
+    cfg: EdgeConfig,
+    platform: Platform,
+    until: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    let listen_at = cfg.listen.clone();
+    let requests = listen("requests", listen_at.requests)?;
+    let ready = listen("readiness", listen_at.ready)?;
+    let lookups = listen("look-ups", listen_at.lookups)?;
+    let metrics = listen("metrics", listen_at.metrics)?;
+    let cx = make_context(cfg, platform)?;
+    spawn_tasks(&cx);
+    let limits = request_limits(&cx.bounds);
+    let serving = monoio::spawn(serve(
+        requests,
+        request_handler(&cx),
+        limits,
+        cx.stop.clone(),
+    ));
+    let ended = Flag::new();
+    for (listener, handler) in [
+        (ready, ready_handler(&cx)),
+        (lookups, lookup_handler(&cx)),
+        (metrics, metrics_handler(&cx)),
+    ] {
+        monoio::spawn(serve(listener, handler, Limits::default(), ended.clone()));
+    }
+    log::info!(vm:% = cx.cfg.vm, incarnation:% = cx.incarnation, domain:% = cx.cfg.domain,
+        region:% = cx.region, requests:% = listen_at.requests, peers:% = listen_at.peers; "listening");
+    until.await;
+    stop::run(&cx, serving).await;
+    ended.fire();
+    Ok(())
+}
+
+fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let opts = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+    TcpListener::bind_with_config(address, &opts).context(ListenSnafu { purpose, address })
+}
+
+fn make_context(cfg: EdgeConfig, platform: Platform) -> Result<Rc<EdgeContext>, StartError> {
+    let Platform { dialect, store } = platform;
+    let bounds = Bounds::from(&cfg.bounds);
+    let domain = &cfg.domain;
+    let region = cfg.domains.get(domain).cloned();
+    let region = region.ok_or_else(|| {
+        NoRegionSnafu {
+            domain: domain.clone(),
+        }
+        .build()
+    })?;
+    let timer = Timer::system();
+    let pool = upstream_pool(&dialect);
+    let world = World::new(
+        dialect.clone(),
+        cfg.domains.clone(),
+        pool,
+        timer.clock.clone(),
+    );
+    let world = Rc::new(RefCell::new(world));
+    let feed = Feed::new(
+        store.clone(),
+        timer.clone(),
+        Rc::clone(&world),
+        bounds.settle,
+    );
+    let registry = Registry::new();
+    let metrics = EdgeMetrics::register(&registry).context(MetricsSnafu)?;
+    let mut rng = fastrand::Rng::new();
+    let incarnation = Incarnation(rng.u64(1..));
+    let (membership, net) = join_peers(&cfg, incarnation, &feed, &timer)?;
+    Ok(Rc::new(EdgeContext {
+        region,
+        incarnation,
+        timer,
+        rng: RefCell::new(rng),
+        world,
+        feed,
+        store,
+        membership,
+        net,
+        most_vms: Cell::new(1),
+        services: RefCell::default(),
+        splits: RefCell::default(),
+        metrics,
+        registry,
+        leaving: Flag::new(),
+        stop: Flag::new(),
+        dialect,
+        bounds,
+        cfg,
+    }))
+}
+
+fn join_peers(
+    cfg: &EdgeConfig,
+    incarnation: Incarnation,
+    feed: &Rc<Feed>,
+    timer: &Timer,
+) -> Result<(Membership, PeerNet), StartError> {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let epoch = since_epoch.unwrap_or_default().as_millis() as u64;
+    let me = PeerId {
+        vm: cfg.vm.clone(),
+        domain: cfg.domain.clone(),
+        incarnation,
+        epoch,
+        address: cfg.listen.peers,
+        callers: Some(cfg.listen.requests),
+    };
+    let mut methods = MethodTable::default();
+    peer_feed::register(&mut methods, feed);
+    let membership_cx = MembershipContext {
+        seeds: cfg.seeds.clone(),
+        platform: Some(presence::vm_list(feed)),
+        revision: Rc::new(Revision::default),
+        reports: None,
+        hooks: MembershipHooks::default(),
+        options: MembershipOptions {
+            suspicion: Millis(2_000),
+            periods_elsewhere: 3,
+            periods_platform: 2,
+            answer_timeout: Millis(700),
+            ..MembershipOptions::default()
+        },
+        rng: fastrand::Rng::new(),
+    };
+    let membership = Membership::new(membership_cx, me, timer.clone(), &mut methods);
+    let net = PeerNet::start(PeerContext {
+        deployment: cfg.deployment.clone(),
+        secret: Secret::new(cfg.secret.as_bytes()),
+        vm: cfg.vm.clone(),
+        domain: cfg.domain.clone(),
+        incarnation,
+        epoch,
+        listen: cfg.listen.peers,
+        advertise: None,
+        callers: Some(cfg.listen.requests),
+        timer: timer.clone(),
+        dial: PeerContext::system_dial(),
+        options: PeerOptions {
+            max_message: MAX_PEER_MESSAGE,
+            ..PeerOptions::default()
+        },
+        methods,
+    })
+    .context(PeersSnafu)?;
+    Ok((membership, net))
+}
+
+/// Gives the settings of the connections to backend servers.
+///
+/// A server that is gone without a word answers no packet. Connecting to it is given up
+/// while the request can still be answered elsewhere, and a request that it took is found
+/// out by probes within about three seconds.
+fn upstream_pool(dialect: &Dialect) -> PoolConfig {
+    PoolConfig {
+        max_connections: 64,
+        max_idle: Millis(8_000),
+        max_idle_once: Millis(2_000),
+        connect_timeout: Duration::from_millis(500),
+        liveness: LivenessOptions {
+            user_timeout: Duration::from_millis(1_500),
+            keepalive: Duration::from_secs(1),
+            keepalive_probes: 2,
+        },
+        echoed: Some(dialect.headers.request_id.clone()),
+        ..PoolConfig::default()
+    }
+}
+
+fn request_limits(bounds: &Bounds) -> Limits {
+    let finishing = stop::finishing_time(bounds.grace);
+    Limits {
+        stop_grace: Duration::from_millis(finishing.0),
+        ..Limits::default()
+    }
+}
+
+fn spawn_tasks(cx: &Rc<EdgeContext>) {
+    monoio::spawn(Rc::clone(&cx.feed).follow());
+    monoio::spawn(presence::run(Rc::clone(cx)));
+    monoio::spawn(peer_feed::run(Rc::clone(cx)));
+    monoio::spawn(tick(Rc::clone(cx)));
+    cx.membership.run(cx.net.clone());
+}
+
+async fn tick(cx: Rc<EdgeContext>) {
+    for round in 1_u64.. {
+        cx.timer.wait(TICK).await;
+        if cx.feed.is_settled() {
+            cx.world.borrow_mut().settle();
+        }
+        if round.is_multiple_of(TICKS_A_SWEEP) {
+            let world = cx.world.borrow();
+            world
+                .all_upstreams()
+                .for_each(|upstream| upstream.pool.sweep());
+            let version = world.catalog().map_or(0, |catalog| catalog.version);
+            cx.metrics.catalog_version.set(version as i64);
+        }
+    }
+}
+
+fn request_handler(cx: &Rc<EdgeContext>) -> Handler {
+    let cx = Rc::clone(cx);
+    Rc::new(move |req| Box::pin(forward::handle(Rc::clone(&cx), req)))
+}
+
+fn ready_handler(cx: &Rc<EdgeContext>) -> Handler {
+    let cx = Rc::clone(cx);
+    Rc::new(move |req| {
+        let status = match ((cx.dialect.asks_ready)(&req), cx.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Box::pin(std::future::ready(Response::text(status, "")))
+    })
+}
+
+fn lookup_handler(cx: &Rc<EdgeContext>) -> Handler {
+    let cx = Rc::clone(cx);
+    Rc::new(move |req| {
+        let response = match (cx.dialect.lookup)(&req) {
+            Err(cause) => Response::text(StatusCode::BAD_REQUEST, cause),
+            Ok(query) => match lookup::look_up(&cx, &query) {
+                Some(answer) => {
+                    cx.metrics.lookups.inc();
+                    (cx.dialect.lookup_answer)(&answer)
+                }
+                None => reply::not_run("no VM can be named", LOOKUP_RETURN),
+            },
+        };
+        Box::pin(std::future::ready(response))
+    })
+}
+
+fn metrics_handler(cx: &Rc<EdgeContext>) -> Handler {
+    let cx = Rc::clone(cx);
+    Rc::new(move |_| {
+        let text = TextEncoder::new().encode_to_string(&cx.registry.gather());
+        let response = match text {
+            Ok(text) => Response::text(StatusCode::OK, text),
+            Err(error) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+        };
+        Box::pin(std::future::ready(response))
+    })
+}
--- /dev/null
+++ b/crates/edge/src/feed.rs
@@ -0,0 +1,201 @@
+//! Keeps the copy of the store's keys up to date, from the store or from peers.
+//!
+//! Every daemon follows the store by itself. One that the store turns away asks peers for
+//! what changed instead: the store's revisions tell which of two words is newer, so it does
+//! not matter who brings them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use futures_util::StreamExt;
+use heatherknot_store::backoff::Backoff;
+use heatherknot_store::error::{Cause, StoreError};
+use heatherknot_store::port::{
+    Event, RangeRequest, Store, StoreRevision, WatchMessage, WatchRequest, WatchStream,
+};
+use heatherknot_types::prelude::*;
+use log::{info, warn};
+
+use crate::mirror::{Change, Known, Mirror};
+use crate::world::World;
+
+/// The pause between two readings of a watch. Backend servers write about once a second
+/// each, so a watch that answered each write would cost a call for each; a pause lets them
+/// gather. With the store's answer it is well under the time in which changes must be in
+/// force.
+const WATCH_PAUSE: Millis = Millis(700);
+/// Without word from the store for this long, peers are asked.
+const QUIET_LIMIT: Millis = Millis(1_400);
+/// The longest pause between two tries of a store that does not answer.
+const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(800);
+
+/// The copy of the store's keys, and how it is kept.
+pub struct Feed {
+    store: Store,
+    timer: Timer,
+    mirror: RefCell<Mirror>,
+    world: Rc<RefCell<World>>,
+    settle: Millis,
+    last_word: Cell<Option<Millis>>,
+    lost: Cell<bool>,
+    settled_at: Cell<Millis>,
+    regained: RefCell<Option<Rc<dyn Fn()>>>,
+}
+
+impl Feed {
+    /// Makes a feed that has read nothing.
+    pub fn new(store: Store, timer: Timer, world: Rc<RefCell<World>>, settle: Millis) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            timer,
+            mirror: RefCell::default(),
+            world,
+            settle,
+            last_word: Cell::new(None),
+            lost: Cell::new(false),
+            settled_at: Cell::new(Millis(0)),
+            regained: RefCell::default(),
+        })
+    }
+
+    /// Gives the copy.
+    pub fn mirror(&self) -> std::cell::Ref<'_, Mirror> {
+        self.mirror.borrow()
+    }
+
+    /// Sets what is done when the store answers again.
+    pub fn on_regained(&self, act: impl Fn() + 'static) {
+        *self.regained.borrow_mut() = Some(Rc::new(act));
+    }
+
+    /// Says whether the store was heard from lately.
+    pub fn is_fresh(&self) -> bool {
+        let now = self.timer.now();
+        let heard = self.last_word.get();
+        heard.is_some_and(|heard| now.since(heard) < QUIET_LIMIT)
+    }
+
+    /// Says whether a missing entry means that it was taken away, rather than that it lapsed
+    /// while the store was away and may come back.
+    pub fn is_settled(&self) -> bool {
+        self.is_fresh() && !self.lost.get() && self.timer.now() >= self.settled_at.get()
+    }
+
+    /// Follows the store for as long as the process runs.
+    pub async fn follow(self: Rc<Self>) {
+        let first = std::time::Duration::from_millis(50);
+        let backoff = Backoff::new(first, LONGEST_PAUSE, fastrand::Rng::new());
+        let mut failures = 0;
+        let mut needs_list = true;
+        loop {
+            match self.follow_once(&mut needs_list, &mut failures).await {
+                Ok(()) => {}
+                Err(error) => {
+                    failures += 1;
+                    needs_list |= matches!(error.source, Cause::Compacted { .. });
+                    self.note_failure(&error);
+                }
+            }
+            backoff.pause(failures.max(1)).await;
+        }
+    }
+
+    async fn follow_once(
+        &self,
+        needs_list: &mut bool,
+        failures: &mut u32,
+    ) -> Result<(), StoreError> {
+        if *needs_list {
+            self.list().await?;
+            *needs_list = false;
+            *failures = 0;
+        }
+        let mut watch = self.watch().await?;
+        loop {
+            let began = self.timer.now();
+            let Some(message) = watch.next().await else {
+                return Ok(());
+            };
+            self.take_message(message?);
+            *failures = 0;
+            let spent = self.timer.now().since(began);
+            self.timer.wait(WATCH_PAUSE - spent).await;
+        }
+    }
+
+    async fn watch(&self) -> Result<WatchStream, StoreError> {
+        let at = self.mirror.borrow().at();
+        let req = WatchRequest {
+            key: String::new(),
+            end: Some(heatherknot_store::port::prefix_end("")),
+            start: StoreRevision(at.0 + 1),
+        };
+        (self.store.watch)(req).await
+    }
+
+    async fn list(&self) -> Result<(), StoreError> {
+        let found = self.store.range(RangeRequest::prefix("")).await?;
+        let listed = found.kvs.into_iter().map(Change::from).collect();
+        self.heard();
+        self.take_list(listed, found.revision, self.is_settled());
+        Ok(())
+    }
+
+    fn take_message(&self, message: WatchMessage) {
+        self.heard();
+        let changes: Vec<Change> = message.events.into_iter().map(to_change).collect();
+        self.take_changes(changes, message.revision, self.is_settled());
+    }
+
+    /// Takes in changes up to revision `at`.
+    pub fn take_changes(&self, changes: Vec<Change>, at: StoreRevision, settled: bool) {
+        let mut mirror = self.mirror.borrow_mut();
+        let news: Vec<Change> = changes.into_iter().filter(|c| mirror.apply(c)).collect();
+        mirror.advance(at);
+        drop(mirror);
+        self.world.borrow_mut().take(&news, settled);
+    }
+
+    /// Takes in a whole list that was read at revision `at`.
+    pub fn take_list(&self, listed: Vec<Change>, at: StoreRevision, settled: bool) {
+        let news = self.mirror.borrow_mut().replace(listed, at);
+        self.world.borrow_mut().take(&news, settled);
+    }
+
+    fn heard(&self) {
+        let now = self.timer.now();
+        let quiet = self
+            .last_word
+            .replace(Some(now))
+            .map(|last| now.since(last));
+        let silent = quiet.is_some_and(|quiet| quiet > QUIET_LIMIT + WATCH_PAUSE);
+        if self.lost.replace(false) || silent {
+            info!(store:% = self.store.peer, quiet_ms = quiet.unwrap_or_default().0; "the store answers again");
+            self.settled_at.set(now + self.settle);
+            if let Some(act) = &*self.regained.borrow() {
+                act();
+            }
+        }
+    }
+
+    fn note_failure(&self, error: &StoreError) {
+        if !self.lost.replace(true) {
+            let at = self.mirror.borrow().at();
+            warn!(step:% = error.step, store:% = error.peer, error:% = error.source, held:% = at;
+                "the store does not answer; what is held stays in force");
+        }
+    }
+}
+
+fn to_change(event: Event) -> Change {
+    match event {
+        Event::Put(kv) => Change::from(kv),
+        Event::Delete(key, revision) => Change {
+            key,
+            known: Known {
+                revision,
+                value: None,
+            },
+        },
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward.rs
@@ -0,0 +1,158 @@
+//! The way of one request: its route, its backend servers one after the other, its answer.
+
+use std::rc::Rc;
+
+use heatherknot_http::{Request, Response};
+use heatherknot_types::prelude::*;
+use http::StatusCode;
+use log::{Level, log};
+
+use crate::attempt::{self, Attempt};
+use crate::call::{self, Call, Unroutable};
+use crate::context::EdgeContext;
+use crate::pick::{self, Refusal};
+use crate::reply;
+
+/// When a caller may come back to a daemon that has no configuration yet.
+const NO_CATALOG_RETURN: Millis = Millis(300);
+/// Servers that could not be reached at all which one request tries.
+const MAX_UNREACHED: u32 = 3;
+/// Sends beyond the route's attempts that one request may make after refusals: a server that
+/// refuses at once has cost it little time.
+const EXTRA_AFTER_REFUSAL: u32 = 1;
+
+/// What has become of a request so far.
+#[derive(Default)]
+struct Tries {
+    /// Servers that were tried.
+    servers: Vec<UpstreamName>,
+    /// Sends that reached a server.
+    arrived: u32,
+    /// Sends that a server may have run.
+    may_have_run: u32,
+    /// Sends that reached nobody.
+    unreached: u32,
+    /// The last server's own answer that it failed.
+    failure: Option<Response>,
+    cause: &'static str,
+}
+
+/// Answers a request.
+pub async fn handle(cx: Rc<EdgeContext>, req: Request) -> Response {
+    match call::admit(&cx, req).await {
+        Ok(mut call) => {
+            let mut tries = Tries::default();
+            let response = serve(&cx, &mut call, &mut tries).await;
+            note_end(&cx, &call, &tries, &response);
+            response
+        }
+        Err(Unroutable::NoCatalog) => reply::not_run("no configuration yet", NO_CATALOG_RETURN),
+        Err(Unroutable::NoRoute) => reply::no_route(),
+        Err(Unroutable::NoTarget) => reply::not_run("the route has no service", NO_CATALOG_RETURN),
+        Err(Unroutable::Body(error)) => reply::bad_body(error.status()),
+    }
+}
+
+async fn serve(cx: &EdgeContext, call: &mut Call, tries: &mut Tries) -> Response {
+    loop {
+        let prospect = match pick::pick(cx, call, &tries.servers) {
+            Ok(prospect) => prospect,
+            Err(refusal) => return give_up(cx, call, tries, &refusal),
+        };
+        if !may_send(cx, call, tries) {
+            return give_up(cx, call, tries, &Refusal::out_of_tries());
+        }
+        tries.servers.push(prospect.upstream.id.clone());
+        let attempt = attempt::send(cx, call, &prospect).await;
+        let labels = [call.service.as_str(), attempt.label()];
+        cx.metrics.sends.with_label_values(&labels).inc();
+        match attempt {
+            Attempt::Answer(response) => return response,
+            Attempt::CallerGone => return reply::unknown("the caller has disconnected"),
+            Attempt::Late => return reply::timed_out(),
+            Attempt::NotSent(cause) => {
+                tries.unreached += 1;
+                tries.cause = cause;
+            }
+            Attempt::NotRun(cause) => {
+                tries.arrived += 1;
+                tries.cause = cause;
+            }
+            Attempt::Failure(response) => {
+                tries.note_may_have_run("the server failed");
+                tries.failure = Some(response);
+            }
+            Attempt::Unknown(cause) => {
+                tries.note_may_have_run(cause);
+                tries.failure = None;
+            }
+        }
+        if tries.may_have_run > 0 && !call.route.idempotent {
+            return give_up(cx, call, tries, &Refusal::out_of_tries());
+        }
+    }
+}
+
+impl Tries {
+    fn note_may_have_run(&mut self, cause: &'static str) {
+        self.arrived += 1;
+        self.may_have_run += 1;
+        self.cause = cause;
+    }
+}
+
+/// Says whether the request may be sent once more, and takes that from the budget.
+fn may_send(cx: &EdgeContext, call: &Call, tries: &Tries) -> bool {
+    let attempts = call.route.attempts.max(1);
+    let within = tries.unreached <= MAX_UNREACHED
+        && tries.may_have_run < attempts
+        && tries.arrived < attempts + EXTRA_AFTER_REFUSAL;
+    if !within || tries.arrived == 0 {
+        return within;
+    }
+    let mut budget = call.state.budget.borrow_mut();
+    budget.take(cx.now(), cx.vms_that_may_send())
+}
+
+/// Gives the final answer to a request that no server answered.
+fn give_up(cx: &EdgeContext, call: &Call, tries: &mut Tries, refusal: &Refusal) -> Response {
+    if let Some(response) = tries.failure.take() {
+        return response;
+    }
+    if tries.may_have_run > 0 {
+        return reply::unknown(tries.cause);
+    }
+    let cause = if tries.arrived + tries.unreached > 0 {
+        tries.cause
+    } else {
+        refusal.cause
+    };
+    cx.metrics
+        .refusals
+        .with_label_values(&[call.service.as_str(), cause])
+        .inc();
+    reply::not_run(cause, refusal.come_back)
+}
+
+fn note_end(cx: &EdgeContext, call: &Call, tries: &Tries, response: &Response) {
+    let outcome = match response.status {
+        status if status.is_success() => "answered",
+        StatusCode::SERVICE_UNAVAILABLE => "not-run",
+        _ => "failed",
+    };
+    let took = cx.now().since(call.started);
+    let labels = [call.service.as_str(), outcome];
+    cx.metrics.requests.with_label_values(&labels).inc();
+    cx.metrics
+        .latency
+        .with_label_values(&labels)
+        .observe(took.as_secs_f64());
+    let level = if outcome == "answered" {
+        Level::Debug
+    } else {
+        Level::Info
+    };
+    log!(level, id = call.id(cx), route:% = call.route.name, service:% = call.service,
+        config = call.catalog.version, status = response.status.as_u16(), took_ms = took.0,
+        sends = tries.servers.len(), cause = tries.cause; "request ended");
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,33 @@
+//! The request path of an entry VM where services, routes and backend servers are registered
+//! on the platform.
+//!
+//! A platform's adapter supplies a [`dialect::Dialect`] and a store; [`daemon::run`] does the
+//! rest. [`feed`] keeps a copy of the store's keys, [`world`] what follows from them,
+//! [`forward`] answers requests and [`lookup`] look-ups.
+
+mod attempt;
+pub mod budget;
+mod call;
+pub mod catalog;
+pub mod choose;
+pub mod context;
+pub mod daemon;
+pub mod dialect;
+pub mod ewma;
+pub mod feed;
+pub mod forward;
+pub mod lookup;
+pub mod metrics;
+pub mod mirror;
+pub mod pace;
+pub mod peer_feed;
+mod pick;
+pub mod presence;
+pub mod registration;
+mod reply;
+pub mod settings;
+pub mod split;
+mod stop;
+pub mod upstream;
+pub mod window;
+pub mod world;
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,89 @@
+//! Counters and histograms of the request path.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Upper ends of the latency histogram's buckets, in seconds. They double, so that a
+/// percentile is known to within a factor of two at every scale.
+const LATENCY_BUCKETS: [f64; 11] = [
+    0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1.024, 2.048, 4.096, 8.192, 16.384,
+];
+
+/// What a daemon counts. Label values are services, outcomes and causes from the code, never
+/// anything that a caller sends.
+pub struct EdgeMetrics {
+    /// Requests by service and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the answer by service and outcome, in seconds.
+    pub latency: HistogramVec,
+    /// Sends to backend servers by service and result.
+    pub sends: IntCounterVec,
+    /// Refusals by service and cause.
+    pub refusals: IntCounterVec,
+    /// Calls on the store by result.
+    pub store_calls: IntCounterVec,
+    /// Look-ups answered.
+    pub lookups: IntCounter,
+    /// The version of the configuration in force.
+    pub catalog_version: IntGauge,
+    /// The known VMs that are alive.
+    pub vms: IntGauge,
+}
+
+impl EdgeMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a name is taken.
+    pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let opts = HistogramOpts::new(
+            "heatherknot_request_seconds",
+            "Time from a request's head to its answer",
+        );
+        let latency = HistogramVec::new(
+            opts.buckets(LATENCY_BUCKETS.to_vec()),
+            &["service", "outcome"],
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        let lookups = IntCounter::new("heatherknot_lookups_total", "Look-ups answered")?;
+        registry.register(Box::new(lookups.clone()))?;
+        Ok(Self {
+            requests: counters(
+                "heatherknot_requests_total",
+                "Requests by service and outcome",
+                &["service", "outcome"],
+            )?,
+            latency,
+            sends: counters(
+                "heatherknot_sends_total",
+                "Sends to backend servers by service and result",
+                &["service", "result"],
+            )?,
+            refusals: counters(
+                "heatherknot_refusals_total",
+                "Refused requests by service and cause",
+                &["service", "cause"],
+            )?,
+            store_calls: counters(
+                "heatherknot_store_calls_total",
+                "Calls on the platform's store by result",
+                &["result"],
+            )?,
+            lookups,
+            catalog_version: gauge("heatherknot_config_version", "Configuration in force")?,
+            vms: gauge("heatherknot_vms", "Known VMs that are alive")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/edge/src/mirror.rs
@@ -0,0 +1,159 @@
+//! A copy of the store's keys that every daemon holds, kept by revision.
+//!
+//! Whatever brings a key, the store or a peer, the higher revision wins, so a late or
+//! repeated word changes nothing and no key ever goes back.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use heatherknot_store::port::{KeyValue, StoreRevision};
+
+/// Deleted keys that are remembered at most. Beyond them a peer that is far behind gets a
+/// whole copy instead of what changed.
+const MAX_DELETED: usize = 4_096;
+
+/// What is known of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The revision of its last change.
+    pub revision: StoreRevision,
+    /// Its value; nothing where it was deleted.
+    pub value: Option<Bytes>,
+}
+
+/// A change of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// What is known of it now.
+    pub known: Known,
+}
+
+/// The keys as far as they are known.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    keys: BTreeMap<String, Known>,
+    /// Every change up to this revision is here.
+    at: StoreRevision,
+    /// Deletions at or below this revision may have been forgotten.
+    floor: StoreRevision,
+}
+
+impl Mirror {
+    /// Gives the revision up to which every change is here.
+    pub fn at(&self) -> StoreRevision {
+        self.at
+    }
+
+    /// Gives the value of a key.
+    pub fn get(&self, key: &str) -> Option<&Bytes> {
+        self.keys.get(key)?.value.as_ref()
+    }
+
+    /// Gives the keys that begin with `prefix` and exist.
+    pub fn with_prefix<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a Bytes)> {
+        let from = self.keys.range(prefix.to_owned()..);
+        from.take_while(move |(key, _)| key.starts_with(prefix))
+            .filter_map(|(key, known)| Some((key.as_str(), known.value.as_ref()?)))
+    }
+
+    /// Takes in one change; says whether it was news.
+    pub fn apply(&mut self, change: &Change) -> bool {
+        match self.keys.get(&change.key) {
+            Some(known) if known.revision >= change.known.revision => false,
+            None if change.known.value.is_none() && change.known.revision <= self.floor => false,
+            _ => {
+                self.keys.insert(change.key.clone(), change.known.clone());
+                true
+            }
+        }
+    }
+
+    /// Notes that every change up to `at` has been taken in.
+    pub fn advance(&mut self, at: StoreRevision) {
+        self.at = self.at.max(at);
+        self.forget_deleted();
+    }
+
+    /// Takes in a whole list that was read from revision `at` on; gives what changed.
+    ///
+    /// A key that is missing from the list and was last changed at or before `at` is gone.
+    pub fn replace(&mut self, listed: Vec<Change>, at: StoreRevision) -> Vec<Change> {
+        let present: std::collections::HashSet<&str> =
+            listed.iter().map(|change| change.key.as_str()).collect();
+        let gone: Vec<Change> = self
+            .keys
+            .iter()
+            .filter(|(key, known)| {
+                known.value.is_some() && known.revision <= at && !present.contains(key.as_str())
+            })
+            .map(|(key, _)| Change {
+                key: key.clone(),
+                known: Known {
+                    revision: at,
+                    value: None,
+                },
+            })
+            .collect();
+        let mut changed = Vec::new();
+        for change in gone {
+            self.keys.insert(change.key.clone(), change.known.clone());
+            changed.push(change);
+        }
+        for change in listed {
+            if self.apply(&change) {
+                changed.push(change);
+            }
+        }
+        self.floor = self.floor.max(at);
+        self.advance(at);
+        changed
+    }
+
+    /// Gives what changed after `after`, or nothing where that is no longer known.
+    pub fn since(&self, after: StoreRevision) -> Option<Vec<Change>> {
+        if after < self.floor {
+            return None;
+        }
+        let newer = self.keys.iter().filter(|(_, known)| known.revision > after);
+        Some(newer.map(to_change).collect())
+    }
+
+    /// Gives every key that exists.
+    pub fn all(&self) -> Vec<Change> {
+        let existing = self.keys.iter().filter(|(_, known)| known.value.is_some());
+        existing.map(to_change).collect()
+    }
+
+    fn forget_deleted(&mut self) {
+        let deleted = |known: &Known| known.value.is_none();
+        if self.keys.values().filter(|known| deleted(known)).count() <= MAX_DELETED {
+            return;
+        }
+        self.floor = self.at;
+        self.keys.retain(|_, known| !deleted(known));
+    }
+}
+
+fn to_change((key, known): (&String, &Known)) -> Change {
+    Change {
+        key: key.clone(),
+        known: known.clone(),
+    }
+}
+
+impl From<KeyValue> for Change {
+    fn from(kv: KeyValue) -> Self {
+        Self {
+            key: kv.key,
+            known: Known {
+                revision: kv.mod_revision,
+                value: Some(kv.value),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/pick.rs
@@ -0,0 +1,141 @@
+//! Picks the backend server of a request, or refuses the request at once.
+
+use std::rc::Rc;
+
+use heatherknot_types::hash;
+use heatherknot_types::prelude::*;
+
+use crate::call::Call;
+use crate::choose::{Prospect, Wish, prospects};
+use crate::context::EdgeContext;
+use crate::upstream::Upstream;
+
+/// When a caller may come back where nothing better is known.
+const USUAL_RETURN: Millis = Millis(500);
+/// The part of the time left after which an answer is not expected to be of use any more.
+const USEFUL_PART: f64 = 0.95;
+/// How far beyond the latency target a request may be expected to end and still wait in a
+/// server's queue.
+const LATE_PART: f64 = 1.0;
+
+/// Why a request is refused, and when it may come back.
+pub(crate) struct Refusal {
+    pub(crate) cause: &'static str,
+    pub(crate) come_back: Millis,
+}
+
+impl Refusal {
+    pub(crate) fn out_of_tries() -> Self {
+        Self {
+            cause: "no further send is allowed",
+            come_back: USUAL_RETURN,
+        }
+    }
+}
+
+/// Picks the server for a request that was sent to `tried` already.
+pub(crate) fn pick(
+    cx: &EdgeContext,
+    call: &Call,
+    tried: &[UpstreamName],
+) -> Result<Prospect, Refusal> {
+    let now = cx.now();
+    let left = call.left(now);
+    if left.0 == 0 {
+        return Err(refuse("the time ran out", USUAL_RETURN));
+    }
+    let candidates = candidates(cx, call, tried, now);
+    let wish = Wish {
+        object: call.object,
+        sticky: call.route.sticky,
+        region: &cx.region,
+        domain: &cx.cfg.domain,
+        target: call.route.latency_target,
+        left,
+        now,
+    };
+    let ranked = prospects(&wish, &candidates, &call.state.pace);
+    let Some(best) = ranked.into_iter().next() else {
+        return Err(refuse("no backend server can take it", USUAL_RETURN));
+    };
+    let spent = now.since(call.started).0 as f64;
+    let late = best.finish + spent > call.route.latency_target.0 as f64 * LATE_PART;
+    if best.finish > left.0 as f64 * USEFUL_PART || (late && !best.free) {
+        let over = (best.finish - best.work).max(0.0);
+        let come_back = Millis(over as u64).min(Millis(left.0 / 3));
+        return Err(refuse(
+            "every backend server is busy for too long",
+            come_back,
+        ));
+    }
+    Ok(best)
+}
+
+fn refuse(cause: &'static str, come_back: Millis) -> Refusal {
+    Refusal { cause, come_back }
+}
+
+/// Gives the servers that may get the request now.
+fn candidates(
+    cx: &EdgeContext,
+    call: &Call,
+    tried: &[UpstreamName],
+    now: Millis,
+) -> Vec<Rc<Upstream>> {
+    let world = cx.world.borrow();
+    let homes = &call.route.home_regions;
+    let all = world.upstreams(&call.service);
+    let eligible: Vec<Rc<Upstream>> = all
+        .iter()
+        .filter(|u| {
+            u.takes_requests()
+                && !world.is_evacuated(&u.domain)
+                && (homes.is_empty() || homes.contains(&u.region))
+                && u.is_reachable(now)
+                && !tried.contains(&u.id)
+        })
+        .cloned()
+        .collect();
+    let warm: Vec<_> = eligible
+        .iter()
+        .filter(|u| !u.is_cold(now))
+        .cloned()
+        .collect();
+    if !warm.is_empty() {
+        return warm;
+    }
+    let may = |u: &Rc<Upstream>| take_cold_turn(cx, call, u, now);
+    eligible.into_iter().find(may).into_iter().collect()
+}
+
+/// Says whether this VM may send a request to a cold server now, and notes it.
+///
+/// A cold server crashes under more than a few requests a second from all VMs together. One
+/// VM, which all rank alike, sends to it, at the rate that the server stands. Two VMs that
+/// know different peers may both take themselves for that one; the deployment's bound leaves
+/// room for that.
+fn take_cold_turn(cx: &EdgeContext, call: &Call, upstream: &Upstream, now: Millis) -> bool {
+    let rate = call
+        .catalog
+        .service(&call.service)
+        .map_or(0.0, |spec| spec.cold_rate);
+    if rate <= 0.0 || !is_owner(cx, &upstream.id) {
+        return false;
+    }
+    let mut next = call.state.cold_next.borrow_mut();
+    let due = next.entry(upstream.id.clone()).or_default();
+    if now < *due {
+        return false;
+    }
+    *due = now + Millis((1000.0 / rate).ceil() as u64);
+    true
+}
+
+fn is_owner(cx: &EdgeContext, id: &UpstreamName) -> bool {
+    let me = &cx.cfg.vm;
+    let rank = |vm: &VmName| hash::rendezvous(&[id.as_str().as_bytes()], vm.as_str());
+    let own = rank(me);
+    crate::presence::alive(cx)
+        .iter()
+        .all(|vm| vm.name == *me || rank(&vm.name) < own)
+}
--- /dev/null
+++ b/crates/edge/src/presence.rs
@@ -0,0 +1,178 @@
+//! Which VMs there are: an entry of each in the store, tied to a lease, and the peers' word.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use heatherknot_peer::MemberState;
+use heatherknot_store::error::{Cause, StoreError};
+use heatherknot_store::port::{Lease, LeaseId, Op, Txn};
+use heatherknot_store::vm_list::{VmList, VmRecord, VmState};
+use heatherknot_types::prelude::*;
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+
+use crate::context::EdgeContext;
+use crate::feed::Feed;
+
+/// The beginning of the keys of VMs.
+const VM_KEYS: &str = "hk/vm/";
+/// How long an entry outlives its VM. A VM that is gone must leave look-up answers within a
+/// few seconds; a lease much shorter would be lost at each hiccup of the store.
+const LEASE: Millis = Millis(4_000);
+/// How often the lease is extended, so that two extensions may fail.
+const EXTEND_EVERY: Millis = Millis(1_200);
+/// How long a written entry may take to show in the copy of the store's keys.
+const SHOWN_AFTER: Millis = Millis(2_500);
+
+/// One VM, as its entry says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Its name.
+    pub name: VmName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its region.
+    pub region: RegionName,
+    /// Where its daemon accepts requests.
+    pub requests: SocketAddr,
+    /// Where its daemon accepts peers.
+    pub peers: SocketAddr,
+    /// The run of its daemon.
+    pub incarnation: Incarnation,
+}
+
+/// Gives the VMs that are there as far as the store and the peers say, this one included
+/// unless it is leaving.
+pub fn alive(cx: &EdgeContext) -> Vec<VmEntry> {
+    let doubted: Vec<VmName> = cx
+        .membership
+        .views()
+        .into_iter()
+        .filter(|view| view.state != MemberState::Alive)
+        .map(|view| view.id.vm)
+        .collect();
+    let mut vms = entries(&cx.feed);
+    vms.retain(|vm| vm.name != cx.cfg.vm && !doubted.contains(&vm.name));
+    if !cx.leaving.is_fired() {
+        vms.push(own_entry(cx));
+    }
+    vms
+}
+
+/// Makes the list of VMs that membership reads: the entries, from the copy at hand.
+pub fn vm_list(feed: &Rc<Feed>) -> VmList {
+    let feed = Rc::clone(feed);
+    VmList {
+        read: Rc::new(move || {
+            let records = entries(&feed).into_iter().map(to_record).collect();
+            Box::pin(std::future::ready(Ok(records)))
+        }),
+    }
+}
+
+fn to_record(entry: VmEntry) -> VmRecord {
+    VmRecord {
+        name: entry.name,
+        domain: entry.domain,
+        address: entry.peers,
+        state: VmState::Live,
+        age_ms: Millis(0),
+    }
+}
+
+fn entries(feed: &Feed) -> Vec<VmEntry> {
+    let mirror = feed.mirror();
+    let parsed = mirror.with_prefix(VM_KEYS).filter_map(|(key, value)| {
+        let entry = serde_json::from_slice(value);
+        entry
+            .inspect_err(|error| warn!(key, error:% = error; "a VM's entry can't be read"))
+            .ok()
+    });
+    parsed.collect()
+}
+
+fn own_entry(cx: &EdgeContext) -> VmEntry {
+    VmEntry {
+        name: cx.cfg.vm.clone(),
+        domain: cx.cfg.domain.clone(),
+        region: cx.region.clone(),
+        requests: cx.cfg.listen.requests,
+        peers: cx.cfg.listen.peers,
+        incarnation: cx.incarnation,
+    }
+}
+
+/// Keeps this VM's entry in the store until it leaves, and then takes it away.
+pub async fn run(cx: Rc<EdgeContext>) {
+    let mut lease: Option<Lease> = None;
+    let mut written = Millis(0);
+    while !cx.leaving.is_fired() {
+        let shown = is_shown(&cx) || cx.now().since(written) < SHOWN_AFTER;
+        let held = match lease {
+            Some(held) if shown => extend(&cx, held).await,
+            _ => {
+                written = cx.now();
+                enter(&cx).await
+            }
+        };
+        lease = match held {
+            Ok(held) => Some(held),
+            Err(error) if error.source == Cause::LeaseNotFound => None,
+            Err(error) => {
+                info!(step:% = error.step, error:% = error.source; "this VM's entry could not be kept up");
+                lease
+            }
+        };
+        note_size(&cx);
+        let leaving = cx.leaving.wait();
+        futures_util::future::select(cx.timer.wait(EXTEND_EVERY), leaving).await;
+    }
+    if let Some(held) = lease {
+        withdraw(&cx, held.id).await;
+    }
+}
+
+/// Says whether the store still shows the entry of this run. It may have been taken away
+/// without a word; a copy that is out of date can't tell.
+fn is_shown(cx: &EdgeContext) -> bool {
+    let key = format!("{VM_KEYS}{}", cx.cfg.vm);
+    let mirror = cx.feed.mirror();
+    let entry: Option<VmEntry> = mirror
+        .get(&key)
+        .and_then(|v| serde_json::from_slice(v).ok());
+    !cx.feed.is_fresh() || entry.is_some_and(|entry| entry.incarnation == cx.incarnation)
+}
+
+async fn extend(cx: &EdgeContext, held: Lease) -> Result<Lease, StoreError> {
+    (cx.store.lease_keepalive)(held.id).await
+}
+
+async fn enter(cx: &EdgeContext) -> Result<Lease, StoreError> {
+    let shortest = Millis((cx.cfg.store.min_lease_s * 1000.0).ceil() as u64);
+    let lease = (cx.store.lease_grant)(LEASE.max(shortest)).await?;
+    let value = serde_json::to_vec(&own_entry(cx)).expect("an entry always serialises");
+    let put = Op::Put {
+        key: format!("{VM_KEYS}{}", cx.cfg.vm),
+        value: value.into(),
+        lease: lease.id,
+    };
+    let txn = Txn {
+        success: vec![put],
+        ..Txn::default()
+    };
+    cx.store.txn(txn).await?;
+    info!(vm:% = cx.cfg.vm, lease = lease.id.0, ttl_ms = lease.ttl.0; "this VM has entered itself in the store");
+    Ok(lease)
+}
+
+async fn withdraw(cx: &EdgeContext, id: LeaseId) {
+    if let Err(error) = (cx.store.lease_revoke)(id).await {
+        info!(error:% = error; "this VM's entry could not be withdrawn; its lease will end");
+    }
+}
+
+fn note_size(cx: &EdgeContext) {
+    let vms = alive(cx).len();
+    cx.metrics.vms.set(vms as i64);
+    cx.most_vms.set(cx.most_vms.get().max(vms));
+}
--- /dev/null
+++ b/crates/edge/src/settings.rs
@@ -0,0 +1,158 @@
+//! The start settings of a daemon on the platform.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use heatherknot_types::prelude::*;
+use serde::Deserialize;
+
+/// The start settings of one daemon, as its JSON file holds them.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EdgeConfig {
+    /// The deployment that this daemon belongs to.
+    pub deployment: String,
+    /// The secret that all daemons of the deployment share.
+    pub secret: String,
+    /// The name of this VM.
+    pub vm: VmName,
+    /// The failure domain that this VM lies in.
+    pub domain: DomainName,
+    /// The region of each failure domain.
+    pub domains: BTreeMap<DomainName, RegionName>,
+    /// Where this daemon listens.
+    pub listen: EdgeListen,
+    /// Peers that may be there, as addresses for daemons.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: StorePlace,
+    /// What this VM has.
+    pub vm_limits: VmLimits,
+    /// The bounds that the deployment states.
+    #[serde(default)]
+    pub bounds: StatedBounds,
+    /// The least severe level that is logged.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+/// The addresses that a daemon listens on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EdgeListen {
+    /// For requests of callers.
+    pub requests: SocketAddr,
+    /// For the platform's question whether this daemon is ready.
+    pub ready: SocketAddr,
+    /// For look-ups.
+    pub lookups: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// The platform's store and the calls that all daemons together may make.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StorePlace {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Writing calls a second.
+    pub writes_per_s: f64,
+    /// Reading calls a second.
+    pub reads_per_s: f64,
+    /// The shortest lease, in seconds.
+    pub min_lease_s: f64,
+}
+
+/// What a VM has for its daemon.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmLimits {
+    /// Part of a core.
+    pub cpu: f64,
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Open descriptors.
+    pub descriptors: usize,
+    /// The VM's link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+/// The bounds as the file holds them; one that is missing or null has its default.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatedBounds {
+    /// See [`Bounds::grace`], in seconds.
+    pub grace_s: Option<f64>,
+    /// See [`Bounds::drain`], in seconds.
+    pub drain_s: Option<f64>,
+    /// See [`Bounds::retry_ratio`].
+    pub retry_ratio: Option<f64>,
+    /// See [`Bounds::retry_slack`].
+    pub retry_slack: Option<f64>,
+    /// See [`Bounds::retry_window`], in seconds.
+    pub retry_window_s: Option<f64>,
+    /// See [`Bounds::max_lookup_ttl`], in seconds.
+    pub max_lookup_ttl_s: Option<f64>,
+}
+
+impl From<&StatedBounds> for Bounds {
+    fn from(stated: &StatedBounds) -> Self {
+        let default = Bounds::default();
+        let span = |stated: Option<f64>, default: Millis| {
+            stated.map_or(default, |secs| {
+                Millis((secs.max(0.0) * 1000.0).round() as u64)
+            })
+        };
+        Self {
+            grace: span(stated.grace_s, default.grace),
+            drain: span(stated.drain_s, default.drain),
+            retry_ratio: stated.retry_ratio.unwrap_or(default.retry_ratio),
+            retry_slack: stated.retry_slack.unwrap_or(default.retry_slack),
+            retry_window: span(stated.retry_window_s, default.retry_window),
+            max_lookup_ttl: span(stated.max_lookup_ttl_s, default.max_lookup_ttl),
+            settle: default.settle,
+        }
+    }
+}
+
+/// The bounds that a deployment states for its system.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// How long after SIGTERM the process is killed.
+    pub grace: Millis,
+    /// How long a backend server goes on serving once it said that it leaves.
+    pub drain: Millis,
+    /// Further sends of requests, as a part of the requests.
+    pub retry_ratio: f64,
+    /// Further sends beyond that part, over all VMs, in a window.
+    pub retry_slack: f64,
+    /// The window of the two.
+    pub retry_window: Millis,
+    /// The longest life of a look-up answer.
+    pub max_lookup_ttl: Millis,
+    /// How long after the store's return entries may still be missing.
+    pub settle: Millis,
+}
+
+impl Default for Bounds {
+    /// Cautious bounds for a deployment that states none.
+    fn default() -> Self {
+        Self {
+            grace: Millis(5_000),
+            drain: Millis(2_000),
+            retry_ratio: 0.1,
+            retry_slack: 10.0,
+            retry_window: Millis(10_000),
+            max_lookup_ttl: Millis(2_000),
+            settle: Millis(2_500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/upstream.rs
@@ -0,0 +1,215 @@
+//! What this VM knows of one run of a backend server.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use heatherknot_http::{Pool, PoolConfig};
+use heatherknot_types::prelude::*;
+
+use crate::ewma::Ewma;
+use crate::registration::Registration;
+
+/// Objects that are remembered of one backend server. Servers keep tens of objects at most,
+/// and one that was forgotten here is only taken for slower than it is.
+const MAX_OBJECTS: usize = 256;
+/// How long a handled object is taken for kept.
+const OBJECT_KEPT: Millis = Millis(60_000);
+/// The weight of one response in the average of what other VMs have running.
+const OTHERS_PART: f64 = 0.4;
+/// The weight of one response in the average slowness and failure rate.
+const QUALITY_PART: f64 = 0.2;
+/// The pause after the first failure to reach a backend server.
+const FIRST_PAUSE: Millis = Millis(250);
+/// The longest pause between two tries of a backend server that can't be reached.
+const LONGEST_PAUSE: Millis = Millis(4_000);
+/// How often a failing pause doubles at most.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// One run of a backend server.
+pub struct Upstream {
+    /// Its identifier.
+    pub id: UpstreamName,
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// The failure domain that it lies in.
+    pub domain: DomainName,
+    /// The region of that domain.
+    pub region: RegionName,
+    /// The connections to it.
+    pub pool: Pool,
+    /// The requests that it runs at once.
+    pub slots: Cell<u32>,
+    /// Whether it said that it leaves.
+    pub leaving: Cell<bool>,
+    /// Whether another server answers at its address.
+    pub replaced: Cell<bool>,
+    /// Until when it counts as cold.
+    pub cold_until: Cell<Millis>,
+    /// Whether it counts as cold only until it says otherwise.
+    pub cold_unless_told: Cell<bool>,
+    /// When it registered, on this process's clock.
+    pub joined: Millis,
+    in_flight: Cell<u32>,
+    others: Ewma,
+    slowness: Ewma,
+    failing: Ewma,
+    failures: Cell<u32>,
+    avoid_until: Cell<Millis>,
+    objects: RefCell<HashMap<u64, Millis>>,
+}
+
+/// The load that a backend server tells with a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+impl ServerLoad {
+    /// Reads `running,waiting,slots`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
+        Some(Self {
+            running: numbers.next()??,
+            waiting: numbers.next()??,
+            slots: numbers.next()??,
+        })
+    }
+}
+
+impl Upstream {
+    /// Makes the record of a backend server that has just registered.
+    pub fn new(reg: &Registration, region: RegionName, pool: PoolConfig, clock: &Clock) -> Self {
+        Self {
+            id: reg.id.clone(),
+            service: reg.service.clone(),
+            domain: reg.domain.clone(),
+            region,
+            pool: Pool::new(reg.address, pool, clock.clone()),
+            slots: Cell::new(reg.slots.max(1)),
+            leaving: Cell::new(reg.leaving),
+            replaced: Cell::new(false),
+            cold_until: Cell::new(Millis(0)),
+            cold_unless_told: Cell::new(false),
+            joined: clock.now(),
+            in_flight: Cell::new(0),
+            others: Ewma::default(),
+            slowness: Ewma::default(),
+            failing: Ewma::default(),
+            failures: Cell::new(0),
+            avoid_until: Cell::new(Millis(0)),
+            objects: RefCell::default(),
+        }
+    }
+
+    /// Says whether it takes requests at all, as far as it is known.
+    pub fn takes_requests(&self) -> bool {
+        !self.leaving.get() && !self.replaced.get()
+    }
+
+    /// Says whether it is cold at `now`.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until.get()
+    }
+
+    /// Says whether it is worth a try at `now`. One that failed is tried by one request at a
+    /// time until it answers.
+    pub fn is_reachable(&self, now: Millis) -> bool {
+        match self.failures.get() {
+            0 => true,
+            _ => now >= self.avoid_until.get() && self.in_flight.get() == 0,
+        }
+    }
+
+    /// Gives the requests that it is expected to have, of this VM and of others.
+    pub fn load(&self) -> f64 {
+        f64::from(self.in_flight.get()) + self.others.get().unwrap_or(0.0)
+    }
+
+    /// Gives this VM's own requests at it.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Gives how many times as long as usual its requests take.
+    pub fn slowness(&self) -> f64 {
+        self.slowness.get().unwrap_or(1.0)
+    }
+
+    /// Gives the part of its requests that failed lately.
+    pub fn failing(&self) -> f64 {
+        self.failing.get().unwrap_or(0.0)
+    }
+
+    /// Says whether it lately handled an object.
+    pub fn keeps(&self, object: u64, now: Millis) -> bool {
+        let objects = self.objects.borrow();
+        let at = objects.get(&object);
+        at.is_some_and(|at| now.since(*at) < OBJECT_KEPT)
+    }
+
+    /// Counts a request for as long as the returned guard lives.
+    pub fn begin(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight {
+            upstream: Rc::clone(self),
+        }
+    }
+
+    /// Takes in the load that it told while this VM had `in_flight` requests at it.
+    pub fn note_load(&self, load: ServerLoad) {
+        let total = f64::from(load.running + load.waiting);
+        let others = (total - f64::from(self.in_flight.get())).max(0.0);
+        self.others.add(others, OTHERS_PART);
+        self.slots.set(load.slots.max(1));
+    }
+
+    /// Takes in a good answer that took `ratio` times as long as was expected.
+    pub fn note_answer(&self, object: u64, ratio: f64, now: Millis) {
+        self.failures.set(0);
+        self.failing.add(0.0, QUALITY_PART);
+        self.slowness.add(ratio.clamp(0.2, 20.0), QUALITY_PART);
+        let mut objects = self.objects.borrow_mut();
+        if objects.len() >= MAX_OBJECTS && !objects.contains_key(&object) {
+            let oldest = objects.iter().min_by_key(|(_, at)| **at).map(|(o, _)| *o);
+            oldest.map(|oldest| objects.remove(&oldest));
+        }
+        objects.insert(object, now);
+    }
+
+    /// Takes in an answer that says that the request failed or was refused.
+    pub fn note_refusal(&self) {
+        self.failures.set(0);
+        self.failing.add(1.0, QUALITY_PART);
+    }
+
+    /// Takes in that it could not be reached, or broke off.
+    ///
+    /// A server that is gone without a word costs each request that tries it the time of a
+    /// connect. It is left alone for a pause that doubles, and then tried by one request.
+    pub fn note_failure(&self, now: Millis) {
+        let failures = self.failures.get();
+        self.failures.set(failures + 1);
+        let pause = Millis(FIRST_PAUSE.0 << failures.min(MAX_DOUBLINGS)).min(LONGEST_PAUSE);
+        self.avoid_until.set(now + pause);
+        self.failing.add(1.0, QUALITY_PART);
+        self.pool.close_idle();
+    }
+}
+
+/// A request at a backend server.
+pub struct InFlight {
+    upstream: Rc<Upstream>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let cell = &self.upstream.in_flight;
+        cell.set(cell.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/edge/src/world.rs
@@ -0,0 +1,247 @@
+//! What this VM believes of routes, backend servers and evacuations, from the store's keys.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+use heatherknot_http::PoolConfig;
+use heatherknot_store::port::StoreRevision;
+use heatherknot_types::prelude::*;
+use log::{info, warn};
+
+use crate::catalog::Catalog;
+use crate::dialect::Dialect;
+use crate::mirror::Change;
+use crate::registration::Registration;
+use crate::upstream::Upstream;
+
+/// Time in which a cold backend server tells that it is cold, beyond its configured time.
+const COLD_REPORT: Millis = Millis(3_000);
+
+/// What this VM believes.
+pub struct World {
+    dialect: Dialect,
+    regions: BTreeMap<DomainName, RegionName>,
+    clock: Clock,
+    pool: PoolConfig,
+    catalog: Option<Rc<Catalog>>,
+    catalog_revision: StoreRevision,
+    upstreams: HashMap<UpstreamName, Rc<Upstream>>,
+    by_service: HashMap<ServiceName, Rc<Vec<Rc<Upstream>>>>,
+    evacuated: BTreeSet<DomainName>,
+    /// Backend servers whose entries are missing while that may be the store's doing.
+    missing: BTreeSet<UpstreamName>,
+}
+
+impl World {
+    /// Makes a world that knows nothing.
+    pub fn new(
+        dialect: Dialect,
+        regions: BTreeMap<DomainName, RegionName>,
+        pool: PoolConfig,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            dialect,
+            regions,
+            clock,
+            pool,
+            catalog: None,
+            catalog_revision: StoreRevision(0),
+            upstreams: HashMap::new(),
+            by_service: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            missing: BTreeSet::new(),
+        }
+    }
+
+    /// Gives the catalog in force.
+    pub fn catalog(&self) -> Option<&Rc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Gives the backend servers of a service.
+    pub fn upstreams(&self, service: &ServiceName) -> Rc<Vec<Rc<Upstream>>> {
+        self.by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Gives every backend server.
+    pub fn all_upstreams(&self) -> impl Iterator<Item = &Rc<Upstream>> {
+        self.upstreams.values()
+    }
+
+    /// Says whether nothing is to be sent to the backend servers of a domain.
+    pub fn is_evacuated(&self, domain: &DomainName) -> bool {
+        self.evacuated.contains(domain)
+    }
+
+    /// Gives the region of a domain.
+    pub fn region_of(&self, domain: &DomainName) -> RegionName {
+        let region = self.regions.get(domain).cloned();
+        region.unwrap_or_else(|| RegionName::from(domain.as_str()))
+    }
+
+    /// Takes in changes of the store. While `settled` is false a missing entry of a backend
+    /// server may be the store's doing, and the server is kept until [`World::settle`].
+    pub fn take(&mut self, changes: &[Change], settled: bool) {
+        let mut regrouped = false;
+        for change in changes {
+            let keys = self.dialect.keys.clone();
+            if change.key == keys.catalog {
+                self.take_catalog(change);
+            } else if let Some(domain) = change.key.strip_prefix(keys.evacuations) {
+                self.take_evacuation(domain, change.known.value.is_some());
+            } else if change.key.starts_with(keys.servers) {
+                regrouped |= self.take_server(change, settled);
+            }
+        }
+        if regrouped {
+            self.regroup();
+        }
+    }
+
+    /// Drops the backend servers whose entries are still missing.
+    pub fn settle(&mut self) {
+        let missing = std::mem::take(&mut self.missing);
+        if missing.is_empty() {
+            return;
+        }
+        for id in missing {
+            self.remove(&id, "its entry did not come back");
+        }
+        self.regroup();
+    }
+
+    fn take_catalog(&mut self, change: &Change) {
+        let Some(value) = &change.known.value else {
+            warn!(key = change.key.as_str(); "the configuration was deleted; the last one stays in force");
+            return;
+        };
+        match (self.dialect.catalog)(&change.key, value) {
+            Ok(catalog) => self.put_catalog(catalog, change.known.revision),
+            Err(cause) => {
+                warn!(key = change.key.as_str(), revision:% = change.known.revision, cause = cause.as_str();
+                    "a configuration can't be read; the last one stays in force");
+            }
+        }
+    }
+
+    /// Puts a catalog in force, unless it is older than the one that is: whichever way it
+    /// came, a process never goes back to routes that it has left.
+    fn put_catalog(&mut self, catalog: Catalog, revision: StoreRevision) {
+        let held = self.catalog.as_ref().map(|held| held.version);
+        if revision <= self.catalog_revision || held.is_some_and(|held| catalog.version < held) {
+            info!(version = catalog.version, revision:% = revision; "an older configuration was passed over");
+            return;
+        }
+        info!(version = catalog.version, revision:% = revision, routes = catalog.route_count(); "configuration in force");
+        self.catalog_revision = revision;
+        self.catalog = Some(Rc::new(catalog));
+    }
+
+    fn take_evacuation(&mut self, domain: &str, begins: bool) {
+        let domain = DomainName::from(domain);
+        if begins {
+            info!(domain:% = domain; "evacuated: its backend servers get nothing more");
+            self.evacuated.insert(domain);
+            return;
+        }
+        if !self.evacuated.remove(&domain) {
+            return;
+        }
+        info!(domain:% = domain; "taken back: its backend servers count as cold until they say otherwise");
+        // Nothing was sent there for a while, so the servers may have turned cold without
+        // anybody noticing. The full load at once would crash them.
+        let now = self.clock.now();
+        for upstream in self.upstreams.values().filter(|u| u.domain == domain) {
+            let spec = self
+                .catalog
+                .as_ref()
+                .and_then(|c| c.service(&upstream.service));
+            let cold_time = spec.map_or(Millis(0), |spec| spec.cold_time);
+            let until = now + cold_time + COLD_REPORT;
+            upstream
+                .cold_until
+                .set(until.max(upstream.cold_until.get()));
+            upstream.cold_unless_told.set(true);
+        }
+    }
+
+    /// Takes in a registration; says whether the set of servers changed.
+    fn take_server(&mut self, change: &Change, settled: bool) -> bool {
+        let id = UpstreamName::from(&change.key[self.dialect.keys.servers.len()..]);
+        let Some(value) = &change.known.value else {
+            return match settled {
+                true => self.remove(&id, "its entry was removed"),
+                false => {
+                    self.missing.insert(id);
+                    false
+                }
+            };
+        };
+        match (self.dialect.registration)(&change.key, value) {
+            Ok(reg) => {
+                self.missing.remove(&reg.id);
+                self.put(&reg)
+            }
+            Err(cause) => {
+                warn!(key = change.key.as_str(), revision:% = change.known.revision, cause = cause.as_str(); "a backend server's entry can't be read");
+                false
+            }
+        }
+    }
+
+    fn put(&mut self, reg: &Registration) -> bool {
+        let now = self.clock.now();
+        if let Some(upstream) = self.upstreams.get(&reg.id) {
+            refresh(upstream, reg, now);
+            return false;
+        }
+        let region = self.region_of(&reg.domain);
+        let upstream = Rc::new(Upstream::new(reg, region, self.pool.clone(), &self.clock));
+        refresh(&upstream, reg, now);
+        info!(upstream:% = reg.id, service:% = reg.service, address:% = reg.address, domain:% = reg.domain,
+            slots = reg.slots, leaving = reg.leaving, cold_ms = reg.cold_left.0; "backend server joined");
+        self.upstreams.insert(reg.id.clone(), upstream);
+        true
+    }
+
+    fn remove(&mut self, id: &UpstreamName, why: &str) -> bool {
+        let Some(upstream) = self.upstreams.remove(id) else {
+            return false;
+        };
+        info!(upstream:% = id, service:% = upstream.service, why; "backend server is gone");
+        upstream.leaving.set(true);
+        upstream.pool.close_idle();
+        true
+    }
+
+    fn regroup(&mut self) {
+        let mut by_service: HashMap<ServiceName, Vec<Rc<Upstream>>> = HashMap::new();
+        for upstream in self.upstreams.values() {
+            let group = by_service.entry(upstream.service.clone()).or_default();
+            group.push(Rc::clone(upstream));
+        }
+        for group in by_service.values_mut() {
+            group.sort_by(|a, b| a.id.cmp(&b.id));
+        }
+        let shared = by_service.into_iter().map(|(s, group)| (s, Rc::new(group)));
+        self.by_service = shared.collect();
+    }
+}
+
+/// Takes over what a known backend server says anew.
+fn refresh(upstream: &Upstream, reg: &Registration, now: Millis) {
+    if reg.leaving && !upstream.leaving.replace(true) {
+        info!(upstream:% = upstream.id, service:% = upstream.service; "backend server is leaving");
+    }
+    upstream.slots.set(reg.slots.max(1));
+    if reg.cold_left.0 > 0 {
+        if !upstream.is_cold(now) {
+            info!(upstream:% = upstream.id, service:% = upstream.service, cold_ms = reg.cold_left.0; "backend server is cold");
+        }
+        upstream.cold_until.set(now + reg.cold_left);
+        upstream.cold_unless_told.set(false);
+    } else if upstream.cold_unless_told.replace(false) {
+        upstream.cold_until.set(now);
+    }
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,5 +1,6 @@
 //! Message bodies, streamed in chunks with bounded buffers.
 
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fmt;
@@ -66,6 +67,8 @@
 /// unusable for further messages.
 pub struct Body {
     source: Source,
+    /// Lives as long as the body, as a count of requests in flight does.
+    guard: Option<Box<dyn Any>>,
 }
 
 enum Source {
@@ -81,6 +84,7 @@
     pub fn empty() -> Self {
         Self {
             source: Source::Empty,
+            guard: None,
         }
     }
 
@@ -92,6 +96,7 @@
         }
         Self {
             source: Source::Full(bytes),
+            guard: None,
         }
     }
 
@@ -108,6 +113,7 @@
                 channel: Rc::clone(&channel),
                 left: len,
             }),
+            guard: None,
         };
         (BodySender { channel }, body)
     }
@@ -115,15 +121,23 @@
     pub(crate) fn incoming(incoming: IncomingBody) -> Self {
         Self {
             source: Source::Incoming(Box::new(incoming)),
+            guard: None,
         }
     }
 
     pub(crate) fn duplex(duplex: Duplex) -> Self {
         Self {
             source: Source::Duplex(Box::new(duplex)),
+            guard: None,
         }
     }
 
+    /// Keeps `guard` until the body is dropped.
+    pub fn with_guard(mut self, guard: impl Any) -> Self {
+        self.guard = Some(Box::new(guard));
+        self
+    }
+
     /// Gives the number of bytes still to come, where it is known.
     pub fn known_len(&self) -> Option<u64> {
         match &self.source {
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -1,8 +1,9 @@
 //! Decoding of checked heads with the library's decoder.
 
 use bytes::{Buf, BytesMut};
+use heatherknot_types::prelude::*;
 use http::header::EXPECT;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
 use snafu::ensure;
@@ -12,6 +13,9 @@
 use crate::incoming::Framing;
 use crate::message::RequestHead;
 
+/// The field in which a peer says how long it keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// A request head as its reader needs it.
 #[derive(Debug)]
 pub(crate) struct ParsedRequest {
@@ -28,6 +32,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) framing: Option<Framing>,
     pub(crate) close: bool,
+    /// How long the peer says that it keeps the connection while idle.
+    pub(crate) keep_alive: Option<Millis>,
 }
 
 /// Takes a request head of `len` bytes from the front of `buf`, checked and without the
@@ -73,15 +79,28 @@
     let mut bytes = take_head(buf, len);
     let parts = decoded(ResponseHeadDecoder.decode(&mut bytes))?;
     let mut headers = parts.headers;
+    let keep_alive = headers.get(KEEP_ALIVE).and_then(idle_timeout);
     let options = strip_hop_by_hop(&mut headers)?;
     Ok(ParsedResponse {
         status: parts.status,
         headers,
         framing,
         close: options.close,
+        keep_alive,
     })
 }
 
+/// Reads the `timeout` parameter of a `keep-alive` field, in whole seconds.
+fn idle_timeout(value: &HeaderValue) -> Option<Millis> {
+    let text = value.to_str().ok()?;
+    let mut parameters = text.split(',').map(str::trim);
+    let secs = parameters.find_map(|p| p.strip_prefix("timeout="))?;
+    secs.trim()
+        .parse()
+        .ok()
+        .map(|secs: u64| Millis(secs * 1000))
+}
+
 /// Copies a head out of the buffer. The decoded headers share the memory of their head, so
 /// that taking it out without a copy would cost the connection a new buffer each time.
 fn take_head(buf: &mut BytesMut, len: usize) -> BytesMut {
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -86,7 +86,10 @@
         Framing::Length(len) => {
             let _ = write!(out, "content-length: {len}\r\n");
         }
-        Framing::Chunked => out.put_slice(b"transfer-encoding: chunked\r\n"),
+        // A body without a known length is passed on in chunks, so that its end shows.
+        Framing::Chunked | Framing::UntilClose => {
+            out.put_slice(b"transfer-encoding: chunked\r\n");
+        }
     }
 }
 
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -10,7 +10,7 @@
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 use heatherknot_types::prelude::*;
-use http::{Method, StatusCode};
+use http::{HeaderName, HeaderValue, Method, StatusCode};
 use snafu::IntoError;
 
 use crate::body::{Body, BodyError};
@@ -20,10 +20,10 @@
 use crate::encode;
 use crate::head::{HeadError, MalformedSnafu};
 use crate::headers::{strip_hop_by_hop, strip_length};
-use crate::incoming::{BodyLimits, Framing, IncomingBody, Released};
+use crate::incoming::{BodyDecoder, BodyLimits, Decoded, Framing, IncomingBody, Released};
 use crate::message::{RequestHead, Response};
 use crate::pool::{PoolInner, PooledConnection, Seat};
-use crate::reader::{ReadError, Reader};
+use crate::reader::{HEAD_READ, ReadError, Reader};
 use crate::send_error::{
     BadResponseSnafu, BrokenSnafu, ExpiredSnafu, Handed, RequestBodySnafu, SendError, SilentSnafu,
     Step,
@@ -130,9 +130,10 @@
     let mut writer = Writer::new(write, pool.config.write_timeout);
     encode::request_head(&mut writer.out, &head, framing, pool.address);
     let limit = pool.time_left(deadline, NO_DEADLINE);
+    let echo = Echo::of(pool, &head);
     let failure = match within(limit, start(&mut writer, body, framing)).await {
         Some(Ok(rest)) => {
-            let exchanged = exchange(pool, writer, rest, &mut reader, deadline).await;
+            let exchanged = exchange(pool, writer, rest, (&mut reader, echo), deadline).await;
             match exchanged {
                 Ok((parsed, upload)) => {
                     return response(pool, (reader, seat), upload, parsed, &head.method);
@@ -186,10 +187,10 @@
     pool: &PoolInner,
     writer: Writer,
     rest: Option<Rest>,
-    reader: &mut Reader,
+    (reader, echo): (&mut Reader, Option<Echo>),
     deadline: Option<Millis>,
 ) -> Result<(ParsedResponse, Upload), Failure> {
-    let receiving = pin!(receive_head(reader, pool.config.max_head_bytes));
+    let receiving = pin!(receive_head(reader, pool.config.max_head_bytes, echo));
     let Some(rest) = rest else {
         let parsed = before_silence(pool, deadline, receiving).await?;
         return Ok((parsed, Upload::Ended(writer)));
@@ -243,8 +244,62 @@
     }
 }
 
-/// Reads the head of the final response, passing over interim ones.
-async fn receive_head(reader: &mut Reader, max: usize) -> Result<ParsedResponse, Failure> {
+/// The header that tells the response to one request from those to others.
+struct Echo {
+    name: HeaderName,
+    value: HeaderValue,
+}
+
+impl Echo {
+    fn of(pool: &PoolInner, head: &RequestHead) -> Option<Self> {
+        let name = pool.config.echoed.clone()?;
+        let value = head.headers.get(&name)?.clone();
+        Some(Self { name, value })
+    }
+
+    /// Says whether a response answers an earlier request.
+    fn is_stray(&self, parsed: &ParsedResponse) -> bool {
+        let echoed = parsed.headers.get(&self.name);
+        echoed.is_some_and(|echoed| echoed != self.value)
+    }
+}
+
+/// Reads and drops the body of a response to an earlier request.
+///
+/// A faulty peer may answer a request twice, and the second answer arrives where the next
+/// one is due. Passing it on would give a caller somebody else's answer; after it the
+/// connection is in order again.
+async fn skip_body(reader: &mut Reader, parsed: &ParsedResponse) -> Result<(), Failure> {
+    let Some(framing) = parsed.framing.filter(|_| may_have_body(parsed.status)) else {
+        return bad_head("a response to another request without a length");
+    };
+    let mut decoder = BodyDecoder::new(framing);
+    loop {
+        let decoded = decoder.decode(&mut reader.buf);
+        match decoded.map_err(|_| bad_body())? {
+            Decoded::End => return Ok(()),
+            Decoded::Chunk(_) => {}
+            Decoded::NeedMore => match reader.fill(HEAD_READ).await {
+                Ok(0) => return bad_head("a response to another request breaks off"),
+                Ok(_) => {}
+                Err(error) => return Err(Failure::from_io(Step::Receive, error)),
+            },
+        }
+    }
+}
+
+fn bad_body() -> Failure {
+    let cause = "the body of a response to another request is malformed";
+    Failure::Head(MalformedSnafu { cause }.build())
+}
+
+/// Reads the head of the final response, passing over interim ones and those to earlier
+/// requests.
+async fn receive_head(
+    reader: &mut Reader,
+    max: usize,
+    echo: Option<Echo>,
+) -> Result<ParsedResponse, Failure> {
     for _ in 0..MAX_INTERIM {
         let mut scanned = 0;
         let len = reader.fill_head(&mut scanned, max).await?;
@@ -252,11 +307,15 @@
         if parsed.status == StatusCode::SWITCHING_PROTOCOLS {
             return bad_head("the peer switched protocols unasked");
         }
-        if !parsed.status.is_informational() {
+        if parsed.status.is_informational() {
+            continue;
+        }
+        if !echo.as_ref().is_some_and(|echo| echo.is_stray(&parsed)) {
             return Ok(parsed);
         }
+        skip_body(reader, &parsed).await?;
     }
-    bad_head("too many interim responses")
+    bad_head("too many responses that are not the final one to the request")
 }
 
 fn bad_head<T>(cause: &'static str) -> Result<T, Failure> {
@@ -266,23 +325,20 @@
 /// Makes the response, whose body gives the connection back to the pool at its end.
 fn response(
     pool: &Rc<PoolInner>,
-    (reader, seat): (Reader, Seat),
+    (reader, mut seat): (Reader, Seat),
     upload: Upload,
     parsed: ParsedResponse,
     method: &Method,
 ) -> Result<Response, SendError> {
+    seat.peer_idle = parsed.keep_alive.or(seat.peer_idle);
     let has_body = method != Method::HEAD && may_have_body(parsed.status);
     let mut headers = parsed.headers;
     let framing = match (has_body, parsed.framing) {
         (false, _) => Framing::Length(0),
         (true, Some(framing)) => framing,
-        (true, None) => {
-            // A body that ends with its connection looks whole wherever it breaks off.
-            let cause = "no length and no chunked coding";
-            let peer = pool.address;
-            return Err(BadResponseSnafu { peer }.into_error(MalformedSnafu { cause }.build()));
-        }
+        (true, None) => Framing::UntilClose,
     };
+    let ends_connection = parsed.close || framing == Framing::UntilClose;
     if has_body {
         strip_length(&mut headers);
     }
@@ -293,7 +349,7 @@
                 write: writer.into_half(),
                 seat,
             };
-            response_body(pool, connection, framing, !parsed.close)
+            response_body(pool, connection, framing, !ends_connection)
         }
         Upload::Running(_) => duplex_body(pool, reader, seat, framing, upload),
     };
--- a/crates/http/src/incoming.rs
+++ b/crates/http/src/incoming.rs
@@ -25,6 +25,8 @@
     Length(u64),
     /// The body is in the chunked coding.
     Chunked,
+    /// The body ends where its connection is closed in order; a reset leaves it broken.
+    UntilClose,
 }
 
 /// Takes a body apart as its bytes arrive, without holding more than was read.
@@ -32,6 +34,7 @@
 pub(crate) enum BodyDecoder {
     Length(u64),
     Chunked(ChunkState),
+    UntilClose { closed: bool },
 }
 
 /// What comes next in the chunked coding.
@@ -57,22 +60,41 @@
         match framing {
             Framing::Length(len) => BodyDecoder::Length(len),
             Framing::Chunked => BodyDecoder::Chunked(ChunkState::Size),
+            Framing::UntilClose => BodyDecoder::UntilClose { closed: false },
         }
     }
 
     pub(crate) fn is_end(&self) -> bool {
         matches!(
             self,
-            BodyDecoder::Length(0) | BodyDecoder::Chunked(ChunkState::End)
+            BodyDecoder::Length(0)
+                | BodyDecoder::Chunked(ChunkState::End)
+                | BodyDecoder::UntilClose { closed: true }
         )
     }
 
+    /// Notes that the connection was closed in order; says whether that ends the body.
+    fn ends_with_connection(&mut self) -> bool {
+        match self {
+            BodyDecoder::UntilClose { closed } => {
+                *closed = true;
+                true
+            }
+            BodyDecoder::Length(_) | BodyDecoder::Chunked(_) => false,
+        }
+    }
+
     /// Takes the next piece of the body from the front of `buf`.
     pub(crate) fn decode(&mut self, buf: &mut BytesMut) -> Result<Decoded, BodyError> {
         match self {
             BodyDecoder::Length(0) => Ok(Decoded::End),
             BodyDecoder::Length(left) => Ok(take_data(left, buf)),
             BodyDecoder::Chunked(state) => decode_chunked(state, buf),
+            BodyDecoder::UntilClose { closed } => match (buf.is_empty(), *closed) {
+                (true, true) => Ok(Decoded::End),
+                (true, false) => Ok(Decoded::NeedMore),
+                (false, _) => Ok(Decoded::Chunk(buf.split().freeze())),
+            },
         }
     }
 }
@@ -238,7 +260,8 @@
         match &self.decoder {
             BodyDecoder::Length(left) => Some(*left),
             BodyDecoder::Chunked(ChunkState::End) => Some(0),
-            BodyDecoder::Chunked(_) => None,
+            BodyDecoder::UntilClose { closed: true } => Some(0),
+            BodyDecoder::Chunked(_) | BodyDecoder::UntilClose { .. } => None,
         }
     }
 
@@ -300,6 +323,7 @@
                 self.adapt(n);
                 return self.check_rate(n, began.elapsed());
             }
+            Some(Ok(_)) if self.decoder.ends_with_connection() => return Ok(()),
             Some(Ok(_)) => "closed by the peer".to_owned(),
             Some(Err(error)) => error.to_string(),
         };
@@ -356,7 +380,7 @@
 fn expected(decoder: &BodyDecoder) -> usize {
     let left = match decoder {
         BodyDecoder::Length(left) => usize::try_from(*left).unwrap_or(usize::MAX),
-        BodyDecoder::Chunked(_) => usize::MAX,
+        BodyDecoder::Chunked(_) | BodyDecoder::UntilClose { .. } => usize::MAX,
     };
     left.max(HEAD_READ)
 }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use heatherknot_types::prelude::*;
+use http::HeaderName;
 use monoio::io::Splitable;
 use monoio::net::TcpStream;
 use monoio::net::tcp::TcpOwnedWriteHalf;
@@ -46,6 +47,9 @@
     pub max_head_bytes: usize,
     /// How the operating system looks for peers that are gone without a word.
     pub liveness: LivenessOptions,
+    /// The request header that the peer repeats in its response, where it does. A response
+    /// that repeats another value belongs to an earlier request and is passed over.
+    pub echoed: Option<HeaderName>,
 }
 
 impl Default for PoolConfig {
@@ -61,6 +65,7 @@
             body_timeout: Duration::from_secs(20),
             max_head_bytes: 16 * 1024,
             liveness: LivenessOptions::default(),
+            echoed: None,
         }
     }
 }
@@ -108,6 +113,8 @@
     pool: Weak<PoolInner>,
     opened: Millis,
     last_used: Millis,
+    /// The idle time after which the peer may close the connection, where it said so.
+    pub(crate) peer_idle: Option<Millis>,
     pub(crate) reused: bool,
 }
 
@@ -289,6 +296,7 @@
             pool: Rc::downgrade(self),
             opened: now,
             last_used: now,
+            peer_idle: None,
             reused: false,
         })
     }
@@ -323,6 +331,10 @@
 
 impl Seat {
     fn is_usable(&self, now: Millis, max_idle: Millis, config: &PoolConfig) -> bool {
-        now.since(self.last_used) <= max_idle && now.since(self.opened) <= config.max_age
+        let idle = now.since(self.last_used);
+        // A request that crosses the peer's close may have run, as far as anybody knows. A
+        // fifth of the stated time covers the way there and the rounding to whole seconds.
+        let kept = self.peer_idle.is_none_or(|peer| idle.0 <= peer.0 / 5 * 4);
+        kept && idle <= max_idle && now.since(self.opened) <= config.max_age
     }
 }
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -1,5 +1,6 @@
 //! HTTP calls on the platform, each with a time limit, over pools of connections.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 
 /// One address of the platform and the connections to it.
 #[derive(Clone)]
-pub(crate) struct Client {
+pub struct Client {
     peer: SocketAddr,
     clock: Clock,
     reads: Pool,
@@ -30,22 +31,23 @@
 }
 
 /// A call to make.
-pub(crate) struct Call {
+pub struct Call {
     pub step: Step,
     pub method: Method,
-    pub path: &'static str,
+    /// The path, with the query where there is one.
+    pub path: Cow<'static, str>,
     pub body: Bytes,
     pub limit: Duration,
 }
 
 /// A whole answer.
-pub(crate) struct Answer {
+pub struct Answer {
     pub status: StatusCode,
     pub body: Bytes,
 }
 
 /// An answer whose body arrives bit by bit.
-pub(crate) struct Streaming {
+pub struct Streaming {
     pub status: StatusCode,
     body: Body,
     limit: Duration,
@@ -54,7 +56,7 @@
 impl Client {
     /// Makes a client whose calls take at most about `call_limit` and whose streamed
     /// answers may be silent for `watch_limit`.
-    pub(crate) fn new(peer: SocketAddr, call_limit: Duration, watch_limit: Duration) -> Self {
+    pub fn new(peer: SocketAddr, call_limit: Duration, watch_limit: Duration) -> Self {
         let clock = Clock::system();
         let writes = PoolConfig {
             max_connections: MAX_CONNECTIONS,
@@ -86,7 +88,7 @@
     }
 
     /// Makes a call and reads the whole answer.
-    pub(crate) async fn call(&self, call: Call) -> Result<Answer, StoreError> {
+    pub async fn call(&self, call: Call) -> Result<Answer, StoreError> {
         let deadline = self.deadline(&call);
         let pool = match is_read(&call) {
             true => &self.reads,
@@ -104,7 +106,7 @@
     }
 
     /// Makes a call and reads the head of the answer.
-    pub(crate) async fn open(&self, call: Call) -> Result<Streaming, StoreError> {
+    pub async fn open(&self, call: Call) -> Result<Streaming, StoreError> {
         let deadline = self.deadline(&call);
         let resp = self.send(&self.watches, &call, deadline).await?;
         Ok(Streaming {
@@ -146,7 +148,7 @@
         self.clock.now() + Millis(call.limit.as_millis() as u64)
     }
 
-    pub(crate) fn error(&self, step: Step, effect: Effect, source: Cause) -> StoreError {
+    pub fn error(&self, step: Step, effect: Effect, source: Cause) -> StoreError {
         StoreError {
             step,
             peer: self.peer,
@@ -158,7 +160,7 @@
 
 impl Streaming {
     /// Reads the next part of the body; `None` at its end.
-    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Cause>> {
+    pub async fn next(&mut self) -> Option<Result<Bytes, Cause>> {
         let part = self.body.next_chunk().await?;
         Some(part.map_err(|err| body_cause(&err, self.limit)))
     }
@@ -169,7 +171,8 @@
 }
 
 fn head(call: &Call) -> RequestHead {
-    let mut head = RequestHead::new(call.method.clone(), Uri::from_static(call.path));
+    let uri = Uri::try_from(call.path.as_ref()).expect("adapters make valid paths");
+    let mut head = RequestHead::new(call.method.clone(), uri);
     let json = HeaderValue::from_static("application/json");
     head.headers.insert(CONTENT_TYPE, json);
     head
--- a/crates/store/src/http_store/mod.rs
+++ b/crates/store/src/http_store/mod.rs
@@ -158,7 +158,7 @@
         Call {
             step,
             method: Method::POST,
-            path,
+            path: path.into(),
             body: body.into(),
             limit: self.cfg.call_limit,
         }
--- a/crates/store/src/http_vm_list.rs
+++ b/crates/store/src/http_vm_list.rs
@@ -28,7 +28,7 @@
     let call = Call {
         step: Step::VmList,
         method: Method::GET,
-        path: PATH,
+        path: PATH.into(),
         body: Bytes::new(),
         limit,
     };
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod commit;
 pub mod error;
 pub mod follow;
-mod http_client;
+pub mod http_client;
 pub mod http_store;
 pub mod http_vm_list;
 pub mod lease_book;
