Serve whole objects in one place, and send a slow part of them elsewhere

Cause: objects are warm only where they were run lately and each is asked for in one region.

Change: one server an object, ranked alike by all VMs; a threshold on the object's hash, moved by 0.04 a second at most, says which objects other regions serve; a further copy only where a free server is sooner even without one.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -87,24 +87,24 @@
         Ok(response) => response,
         Err(error) => return failed(cx, call, prospect, &error),
     };
-    note_load(cx, prospect, &response.headers);
+    note_load(cx, call, prospect, &response.headers);
     if let Some(attempt) = refused(cx, prospect, &response) {
         return attempt;
     }
     if !is_own_answer(cx, &response) {
-        upstream.note_refusal();
+        upstream.note_refusal(cx.now());
         return Attempt::Unknown("the response is not the server's own");
     }
     let held = match hold(call, cx, response).await {
         Ok(response) => response,
         Err(cause) => {
-            upstream.note_refusal();
+            upstream.note_refusal(cx.now());
             return Attempt::Unknown(cause);
         }
     };
     if !held.status.is_success() {
         if held.status.is_server_error() {
-            upstream.note_refusal();
+            upstream.note_refusal(cx.now());
             return Attempt::Failure(held);
         }
         return Attempt::Answer(held);
@@ -161,7 +161,7 @@
         return Some(Attempt::NotRun("another server has the address"));
     }
     if response.headers.contains_key(&cx.dialect.headers.not_run) {
-        upstream.note_refusal();
+        upstream.note_refusal(cx.now());
         return Some(Attempt::NotRun("the server refused it unrun"));
     }
     None
@@ -174,11 +174,17 @@
     signed || !response.status.is_success()
 }
 
-fn note_load(cx: &EdgeContext, prospect: &Prospect, headers: &HeaderMap) {
+fn note_load(cx: &EdgeContext, call: &Call, prospect: &Prospect, headers: &HeaderMap) {
     let told = headers.get(&cx.dialect.headers.server_load);
     let load = told.and_then(|v| ServerLoad::parse(v.to_str().ok()?));
     if let Some(load) = load {
-        prospect.upstream.note_load(load);
+        let others = prospect.upstream.note_load(load, cx.now());
+        call.state.pace.note_others(others, cx.now());
+        let requests = f64::from(load.running + load.waiting);
+        let is_own = prospect.upstream.region == cx.region;
+        call.state
+            .spill
+            .note(is_own, requests / f64::from(load.slots.max(1)));
     }
 }
 
@@ -206,15 +212,12 @@
 /// Takes in how long a good answer took.
 fn learn(cx: &EdgeContext, call: &Call, prospect: &Prospect, took: Millis) {
     let upstream = &prospect.upstream;
-    let kept = upstream.keeps(call.object, cx.now());
-    if prospect.free {
+    let now = cx.now();
+    let kept = upstream.keeps(call.object, now);
+    let slowness = prospect.free.then(|| {
+        let slowness = call.state.pace.slowness(&upstream.region, kept, took);
         call.state.pace.note(&upstream.region, kept, took);
-    }
-    let expected = prospect.work.max(1.0) / upstream.slowness();
-    let ratio = if prospect.free {
-        took.0 as f64 / expected
-    } else {
-        upstream.slowness()
-    };
-    upstream.note_answer(call.object, ratio, cx.now());
+        slowness
+    });
+    upstream.note_answer(call.object, slowness.flatten(), now);
 }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -116,7 +116,7 @@
     let stated = headers.get(&cx.dialect.headers.time_left);
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
     let patience = stated.map_or(DEFAULT_TIME, Millis).min(route.timeout);
-    let object = object_of(cx, &route, &req.head);
+    let object = object_of(cx, &req.head);
     let body = HeldBody::hold(req.body).await.map_err(Unroutable::Body)?;
     Ok(Call {
         route,
@@ -134,9 +134,11 @@
 
 /// Gives a number for the request's object. One without an object gets a number of its own,
 /// which spreads such requests evenly.
-fn object_of(cx: &EdgeContext, route: &Route, head: &RequestHead) -> u64 {
+///
+/// The routes of one service may share objects, so the route is not part of it.
+fn object_of(cx: &EdgeContext, head: &RequestHead) -> u64 {
     match (cx.dialect.object)(&head.headers) {
-        Some(object) => hash::rendezvous(&[route.name.as_bytes()], &object),
+        Some(object) => hash::digest(object.as_bytes()),
         None => cx.rng.borrow_mut().u64(..),
     }
 }
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -17,12 +17,13 @@
 /// request is sent again or lost, so a server that fails all of them counts as four times
 /// as slow.
 const FAILING_COST: f64 = 3.0;
-/// Extra time for each rank after the first, as a part of the expected time, so that equal
-/// servers are taken in the order that all VMs share.
-const RANK_COST: f64 = 0.02;
-/// The weight of a server in the caller's own domain while ranking one region's servers, for
-/// answers whose bytes cost more than a second copy of their object.
-const OWN_DOMAIN: f64 = 1.0;
+/// The time for an object that a server keeps, as a part of the latency target, until one was
+/// seen; and for one that it does not keep. They only say that the second takes longer.
+const UNKNOWN_WARM: f64 = 0.4;
+const UNKNOWN_COLD: f64 = 1.2;
+/// How many times the extra work for an object that a server does not keep counts. The work
+/// takes a slot from other requests, beside the time that it takes itself.
+const COLD_COST: f64 = 2.0;
 
 /// What a choice is made for.
 pub struct Wish<'a> {
@@ -32,8 +33,6 @@
     pub sticky: bool,
     /// The VM's own region.
     pub region: &'a RegionName,
-    /// The VM's own domain.
-    pub domain: &'a DomainName,
     /// The time within which an answer is worth most.
     pub target: Millis,
     /// The time that is left for the request.
@@ -55,64 +54,81 @@
     pub work: f64,
     /// The expected time to its answer, in milliseconds.
     pub finish: f64,
+    /// What taking it costs, in milliseconds: the time, and what others lose.
+    pub cost: f64,
 }
 
-/// Ranks `candidates` by what is expected of them, the best one first.
-pub fn prospects(wish: &Wish<'_>, candidates: &[Rc<Upstream>], pace: &Pace) -> Vec<Prospect> {
-    let mut near = ranked(wish, candidates, |u| u.region == *wish.region);
-    let far = ranked(wish, candidates, |u| u.region != *wish.region);
-    let first_far = near.len();
-    near.extend(far);
-    let mut found: Vec<Prospect> = near
-        .into_iter()
-        .enumerate()
-        .map(|(at, upstream)| {
-            let rank = if at < first_far { at } else { at - first_far };
-            prospect(wish, upstream, rank, pace)
-        })
-        .collect();
-    found.sort_by(|a, b| a.finish.total_cmp(&b.finish));
-    found
-}
-
-fn ranked(
+/// Chooses among `candidates`; gives nothing where there are none.
+///
+/// An object is served in its VM's region, or elsewhere where `is_away` says so. There the
+/// first server of its rank gets it. Another one gets a copy only where it is free and the
+/// first one is so busy that even the work without a copy is done sooner there. With more
+/// copies, an overload spreads every object over every server, none of which then keeps any,
+/// and the overload stays.
+pub fn choose(
     wish: &Wish<'_>,
     candidates: &[Rc<Upstream>],
-    is_wanted: impl Fn(&Upstream) -> bool,
-) -> Vec<Rc<Upstream>> {
+    pace: &Pace,
+    is_away: bool,
+) -> Option<Prospect> {
+    let ranked = ranked(wish, candidates);
+    let is_meant = |u: &Upstream| (u.region != *wish.region) == is_away;
+    let (meant, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|u| is_meant(u));
+    let here = choose_ranked(wish, &meant, pace);
+    if here
+        .as_ref()
+        .is_some_and(|p| p.free || p.finish <= wish.target.0 as f64)
+    {
+        return here;
+    }
+    // Only what would otherwise be refused leaves the regions that it is meant for.
+    let there = choose_ranked(wish, &others, pace).filter(|p| p.free);
+    there.or(here)
+}
+
+fn choose_ranked(wish: &Wish<'_>, ranked: &[Rc<Upstream>], pace: &Pace) -> Option<Prospect> {
+    let mut prospects = ranked.iter().enumerate();
+    let (_, first) = prospects.next()?;
+    let first = prospect(wish, first, true, pace);
+    if first.free {
+        return Some(first);
+    }
+    let mut others = prospects.map(|(_, u)| prospect(wish, u, false, pace));
+    let spare = others.find(|p| p.free && p.cost < first.cost);
+    Some(spare.unwrap_or(first))
+}
+
+/// Ranks the servers for an object by weighted rendezvous hashing, alike on every VM.
+fn ranked(wish: &Wish<'_>, candidates: &[Rc<Upstream>]) -> Vec<Rc<Upstream>> {
     let object = wish.object.to_le_bytes();
-    let mut scored: Vec<(f64, &Rc<Upstream>)> = candidates
-        .iter()
-        .filter(|u| is_wanted(u))
-        .map(|u| {
-            let unit = hash::unit_interval(hash::rendezvous(&[&object], u.id.as_str()));
-            let near = if u.domain == *wish.domain {
-                OWN_DOMAIN
-            } else {
-                1.0
-            };
-            (-unit.ln() / (f64::from(u.slots.get()) * near), u)
-        })
-        .collect();
+    let score = |u: &Rc<Upstream>| {
+        let unit = hash::unit_interval(hash::rendezvous(&[&object], u.id.as_str()));
+        -unit.ln() / f64::from(u.slots.get())
+    };
+    let mut scored: Vec<(f64, &Rc<Upstream>)> = candidates.iter().map(|u| (score(u), u)).collect();
     scored.sort_by(|a, b| a.0.total_cmp(&b.0));
     scored.into_iter().map(|(_, u)| Rc::clone(u)).collect()
 }
 
-fn prospect(wish: &Wish<'_>, upstream: Rc<Upstream>, rank: usize, pace: &Pace) -> Prospect {
-    let warm = wish.sticky && (rank == 0 || upstream.keeps(wish.object, wish.now));
-    let unknown = wish.target.0 as f64 / 2.0;
-    let usual = pace.expected(&upstream.region, warm, unknown);
-    let often = pace.expected(&upstream.region, true, unknown);
+fn prospect(wish: &Wish<'_>, upstream: &Rc<Upstream>, is_first: bool, pace: &Pace) -> Prospect {
+    let warm = wish.sticky && (is_first || upstream.keeps(wish.object, wish.now));
+    let target = wish.target.0 as f64;
+    let often = pace.expected(&upstream.region, true, target * UNKNOWN_WARM);
+    let usual = match warm {
+        true => often,
+        false => pace.expected(&upstream.region, false, target * UNKNOWN_COLD),
+    };
     let slots = f64::from(upstream.slots.get());
-    let ahead = upstream.load() + 1.0 - slots;
-    let wait = ahead.max(0.0) / slots * often * upstream.slowness();
-    let work = usual * upstream.slowness();
-    let cost = 1.0 + FAILING_COST * upstream.failing() + RANK_COST * rank.min(10) as f64;
+    let ahead = upstream.load(pace.usual_others(wish.now), wish.now) + 1.0 - slots;
+    let wait = ahead.max(0.0) / slots * often * upstream.slowness(wish.now);
+    let work = usual * upstream.slowness(wish.now);
+    let extra = (usual - often).max(0.0) * (COLD_COST - 1.0);
     Prospect {
         warm,
         free: ahead <= 0.0,
         work,
-        finish: work * cost + wait,
-        upstream,
+        finish: work + wait,
+        cost: work * (1.0 + FAILING_COST * upstream.failing(wish.now)) + wait + extra,
+        upstream: Rc::clone(upstream),
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -17,6 +17,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::pace::Pace;
 use crate::settings::{Bounds, EdgeConfig};
+use crate::spill::Spill;
 use crate::split::Split;
 use crate::world::World;
 
@@ -69,6 +70,8 @@
     pub pace: Pace,
     /// The budget of further sends.
     pub budget: RefCell<RetryBudget>,
+    /// Which part of the objects other regions serve.
+    pub spill: Spill,
     /// When each cold backend server may get its next request from this VM.
     pub cold_next: RefCell<HashMap<UpstreamName, Millis>>,
 }
@@ -86,6 +89,7 @@
             Rc::new(ServiceState {
                 pace: Pace::default(),
                 budget: RefCell::new(RetryBudget::new(&self.bounds)),
+                spill: Spill::default(),
                 cold_next: RefCell::default(),
             })
         });
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::world::World;
-use crate::{forward, lookup, peer_feed, presence, reply, stop};
+use crate::{forward, lookup, peer_feed, presence, reply, spill_step, stop};
 
 /// How often idle connections are looked through, and missing backend servers.
 const TICK: Millis = Millis(250);
@@ -277,6 +277,7 @@
         if cx.feed.is_settled() {
             cx.world.borrow_mut().settle();
         }
+        spill_step::run(&cx);
         if round.is_multiple_of(TICKS_A_SWEEP) {
             let world = cx.world.borrow();
             world
--- a/crates/edge/src/ewma.rs
+++ b/crates/edge/src/ewma.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 
+use heatherknot_types::prelude::*;
+
 /// An average in which each sample counts for a fixed part and older ones for ever less.
 #[derive(Debug, Default)]
 pub struct Ewma {
@@ -28,3 +30,8 @@
         self.value.set(None);
     }
 }
+
+/// Gives what is left of something seen `age` ago, from one to zero.
+pub fn fade(age: Millis, half_life: Millis) -> f64 {
+    0.5_f64.powf(age.0 as f64 / half_life.0 as f64)
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -122,11 +122,10 @@
     if tries.may_have_run > 0 {
         return reply::unknown(tries.cause);
     }
-    let cause = if tries.arrived + tries.unreached > 0 {
-        tries.cause
-    } else {
-        refusal.cause
-    };
+    if tries.arrived + tries.unreached == 0 {
+        tries.cause = refusal.cause;
+    }
+    let cause = tries.cause;
     cx.metrics
         .refusals
         .with_label_values(&[call.service.as_str(), cause])
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod registration;
 mod reply;
 pub mod settings;
+pub mod spill;
+mod spill_step;
 pub mod split;
 mod stop;
 pub mod upstream;
--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -1,14 +1,20 @@
 //! How long the backend servers of one service take, learned from their answers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 
 use heatherknot_types::prelude::*;
 
-use crate::ewma::Ewma;
+use crate::ewma::{Ewma, fade};
 
 /// The weight of one answer.
 const SAMPLE_PART: f64 = 0.1;
+/// The weight of one answer in the usual load by other VMs.
+const OTHERS_PART: f64 = 0.1;
+/// The time without an answer after which that load counts for half.
+const OTHERS_HALF_LIFE: Millis = Millis(500);
+/// How many times the usual time with a kept object a time is taken for one without.
+const COLD_FROM: f64 = 2.0;
 
 /// Times of one service, from sending a request to its whole answer, in milliseconds.
 ///
@@ -17,6 +23,8 @@
 pub struct Pace {
     by_region: RefCell<HashMap<RegionName, Times>>,
     overall: Times,
+    others: Ewma,
+    others_at: Cell<Millis>,
 }
 
 #[derive(Debug, Default)]
@@ -32,16 +40,49 @@
 }
 
 impl Pace {
-    /// Takes in that a free server in `region` took `took` for an object that it kept, or
-    /// did not keep.
-    pub fn note(&self, region: &RegionName, warm: bool, took: Millis) {
+    /// Takes in that a free server in `region` took `took` for an object that it was known
+    /// to keep, or not known to keep.
+    ///
+    /// Other VMs may have sent it the object meanwhile, and it may have dropped the object
+    /// for others, so a time that is far off the usual one counts for the other kind.
+    pub fn note(&self, region: &RegionName, kept: bool, took: Millis) {
         let took = took.0 as f64;
+        let warm = match self.overall.warm.get() {
+            Some(usual) => took < usual * COLD_FROM,
+            None => kept,
+        };
         self.overall.of(warm).add(took, SAMPLE_PART);
         let mut by_region = self.by_region.borrow_mut();
         let times = by_region.entry(region.clone()).or_default();
         times.of(warm).add(took, SAMPLE_PART);
     }
 
+    /// Takes in how many requests of other VMs a server has.
+    pub fn note_others(&self, others: f64, now: Millis) {
+        self.others_at.set(now);
+        self.others.add(others, OTHERS_PART);
+    }
+
+    /// Gives how many requests of other VMs a server usually has. It fades while no server
+    /// tells anything, or a VM that refuses everything would never learn that it need not.
+    pub fn usual_others(&self, now: Millis) -> f64 {
+        let age = now.since(self.others_at.get());
+        self.others.get().unwrap_or(0.0) * fade(age, OTHERS_HALF_LIFE)
+    }
+
+    /// Gives how many times as long as usual an answer took, where that is known. One for an
+    /// object that the server may not have kept is compared with the kind that it is nearer.
+    pub fn slowness(&self, region: &RegionName, kept: bool, took: Millis) -> Option<f64> {
+        let by_region = self.by_region.borrow();
+        let times = by_region.get(region)?;
+        let took = took.0 as f64;
+        let warm = times.warm.get()?;
+        if kept || took < warm * COLD_FROM {
+            return Some(took / warm);
+        }
+        times.cold.get().map(|cold| (took / cold).max(1.0))
+    }
+
     /// Gives the expected time at a free server in `region`, or `unknown` where nothing like
     /// it was seen.
     pub fn expected(&self, region: &RegionName, warm: bool, unknown: f64) -> f64 {
@@ -49,7 +90,6 @@
         let here = by_region.get(region);
         here.and_then(|times| times.of(warm).get())
             .or_else(|| self.overall.of(warm).get())
-            .or_else(|| self.overall.of(!warm).get())
             .unwrap_or(unknown)
     }
 }
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -6,7 +6,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::call::Call;
-use crate::choose::{Prospect, Wish, prospects};
+use crate::choose::{Prospect, Wish, choose};
 use crate::context::EdgeContext;
 use crate::upstream::Upstream;
 
@@ -49,13 +49,12 @@
         object: call.object,
         sticky: call.route.sticky,
         region: &cx.region,
-        domain: &cx.cfg.domain,
         target: call.route.latency_target,
         left,
         now,
     };
-    let ranked = prospects(&wish, &candidates, &call.state.pace);
-    let Some(best) = ranked.into_iter().next() else {
+    let is_away = call.state.spill.is_away(call.object);
+    let Some(best) = choose(&wish, &candidates, &call.state.pace, is_away) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
     };
     let spent = now.since(call.started).0 as f64;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -7,7 +7,7 @@
 use heatherknot_http::{Pool, PoolConfig};
 use heatherknot_types::prelude::*;
 
-use crate::ewma::Ewma;
+use crate::ewma::{Ewma, fade};
 use crate::registration::Registration;
 
 /// Objects that are remembered of one backend server. Servers keep tens of objects at most,
@@ -17,6 +17,10 @@
 const OBJECT_KEPT: Millis = Millis(60_000);
 /// The weight of one response in the average of what other VMs have running.
 const OTHERS_PART: f64 = 0.4;
+/// The time after which what was told of others counts for half.
+const OTHERS_HALF_LIFE: Millis = Millis(700);
+/// The time after which what was seen of its slowness and failures counts for half.
+const JUDGED_HALF_LIFE: Millis = Millis(3_000);
 /// The weight of one response in the average slowness and failure rate.
 const QUALITY_PART: f64 = 0.2;
 /// The pause after the first failure to reach a backend server.
@@ -52,7 +56,9 @@
     pub joined: Millis,
     in_flight: Cell<u32>,
     others: Ewma,
+    told_at: Cell<Millis>,
     slowness: Ewma,
+    judged_at: Cell<Millis>,
     failing: Ewma,
     failures: Cell<u32>,
     avoid_until: Cell<Millis>,
@@ -99,7 +105,9 @@
             joined: clock.now(),
             in_flight: Cell::new(0),
             others: Ewma::default(),
+            told_at: Cell::new(Millis(0)),
             slowness: Ewma::default(),
+            judged_at: Cell::new(Millis(0)),
             failing: Ewma::default(),
             failures: Cell::new(0),
             avoid_until: Cell::new(Millis(0)),
@@ -127,8 +135,14 @@
     }
 
     /// Gives the requests that it is expected to have, of this VM and of others.
-    pub fn load(&self) -> f64 {
-        f64::from(self.in_flight.get()) + self.others.get().unwrap_or(0.0)
+    ///
+    /// What it told of others counts for less with age, and `usual`, the average of all
+    /// servers of the service, for more. Otherwise a server that was once full would get
+    /// nothing from this VM, and so could never tell that it is free again.
+    pub fn load(&self, usual: f64, now: Millis) -> f64 {
+        let trust = fade(now.since(self.told_at.get()), OTHERS_HALF_LIFE);
+        let told = self.others.get().unwrap_or(usual);
+        f64::from(self.in_flight.get()) + usual + (told - usual) * trust
     }
 
     /// Gives this VM's own requests at it.
@@ -137,13 +151,18 @@
     }
 
     /// Gives how many times as long as usual its requests take.
-    pub fn slowness(&self) -> f64 {
-        self.slowness.get().unwrap_or(1.0)
+    ///
+    /// It fades with time, as what is told of load does, so that a server that was slow once
+    /// is tried again.
+    pub fn slowness(&self, now: Millis) -> f64 {
+        let judged = self.slowness.get().unwrap_or(1.0);
+        1.0 + (judged - 1.0) * fade(now.since(self.judged_at.get()), JUDGED_HALF_LIFE)
     }
 
     /// Gives the part of its requests that failed lately.
-    pub fn failing(&self) -> f64 {
-        self.failing.get().unwrap_or(0.0)
+    pub fn failing(&self, now: Millis) -> f64 {
+        let age = now.since(self.judged_at.get());
+        self.failing.get().unwrap_or(0.0) * fade(age, JUDGED_HALF_LIFE)
     }
 
     /// Says whether it lately handled an object.
@@ -161,19 +180,25 @@
         }
     }
 
-    /// Takes in the load that it told while this VM had `in_flight` requests at it.
-    pub fn note_load(&self, load: ServerLoad) {
+    /// Takes in the load that it told; gives the requests of other VMs among them.
+    pub fn note_load(&self, load: ServerLoad, now: Millis) -> f64 {
+        self.told_at.set(now);
         let total = f64::from(load.running + load.waiting);
         let others = (total - f64::from(self.in_flight.get())).max(0.0);
         self.others.add(others, OTHERS_PART);
         self.slots.set(load.slots.max(1));
+        others
     }
 
-    /// Takes in a good answer that took `ratio` times as long as was expected.
-    pub fn note_answer(&self, object: u64, ratio: f64, now: Millis) {
+    /// Takes in a good answer that took `slowness` times as long as usual, where that is
+    /// known.
+    pub fn note_answer(&self, object: u64, slowness: Option<f64>, now: Millis) {
         self.failures.set(0);
         self.failing.add(0.0, QUALITY_PART);
-        self.slowness.add(ratio.clamp(0.2, 20.0), QUALITY_PART);
+        self.judged_at.set(now);
+        if let Some(slowness) = slowness {
+            self.slowness.add(slowness.clamp(0.2, 20.0), QUALITY_PART);
+        }
         let mut objects = self.objects.borrow_mut();
         if objects.len() >= MAX_OBJECTS && !objects.contains_key(&object) {
             let oldest = objects.iter().min_by_key(|(_, at)| **at).map(|(o, _)| *o);
@@ -183,7 +208,8 @@
     }
 
     /// Takes in an answer that says that the request failed or was refused.
-    pub fn note_refusal(&self) {
+    pub fn note_refusal(&self, now: Millis) {
+        self.judged_at.set(now);
         self.failures.set(0);
         self.failing.add(1.0, QUALITY_PART);
     }
@@ -197,6 +223,7 @@
         self.failures.set(failures + 1);
         let pause = Millis(FIRST_PAUSE.0 << failures.min(MAX_DOUBLINGS)).min(LONGEST_PAUSE);
         self.avoid_until.set(now + pause);
+        self.judged_at.set(now);
         self.failing.add(1.0, QUALITY_PART);
         self.pool.close_idle();
     }
