Let one VM of each domain watch the store and tell the others

Change: the first-ranked VM of a domain watches, the others hold a question open at it; whoever hears nothing for 1.4 s watches itself. Entries that only say that a server lives are not passed on. A free server always gets the request.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -34,6 +34,10 @@
 /// The longest message between daemons: the copy of the store's keys of a whole deployment.
 const MAX_PEER_MESSAGE: usize = 4 << 20;
 
+/// VMs of each failure domain that watch the store. One suffices: the others find out within
+/// a second and a half that it tells nothing, and watch the store themselves.
+const WATCHERS: usize = 1;
+
 /// Why a daemon did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -195,7 +199,7 @@
         callers: Some(cfg.listen.requests),
     };
     let mut methods = MethodTable::default();
-    peer_feed::register(&mut methods, feed);
+    peer_feed::register(&mut methods, feed, timer);
     let membership_cx = MembershipContext {
         seeds: cfg.seeds.clone(),
         platform: Some(presence::vm_list(feed)),
@@ -206,6 +210,7 @@
             suspicion: Millis(2_000),
             periods_elsewhere: 3,
             periods_platform: 2,
+            watchers: WATCHERS,
             answer_timeout: Millis(700),
             ..MembershipOptions::default()
         },
@@ -264,6 +269,8 @@
 }
 
 fn spawn_tasks(cx: &Rc<EdgeContext>) {
+    let membership = cx.membership.clone();
+    cx.feed.watch_where(move || membership.is_watcher());
     monoio::spawn(Rc::clone(&cx.feed).follow());
     monoio::spawn(presence::run(Rc::clone(cx)));
     monoio::spawn(peer_feed::run(Rc::clone(cx)));
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -1,13 +1,15 @@
 //! Keeps the copy of the store's keys up to date, from the store or from peers.
 //!
-//! Every daemon follows the store by itself. One that the store turns away asks peers for
-//! what changed instead: the store's revisions tell which of two words is newer, so it does
-//! not matter who brings them.
+//! A few VMs of each failure domain watch the store and the others hear from them, since a
+//! call on the store costs about as much as a request. The store's revisions tell which of
+//! two words is newer, so it does not matter who brings them. A VM that hears nothing watches
+//! the store itself, and one that the store turns away asks any peer.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use futures_util::StreamExt;
+use heatherknot_http::Flag;
 use heatherknot_store::backoff::Backoff;
 use heatherknot_store::error::{Cause, StoreError};
 use heatherknot_store::port::{
@@ -19,6 +21,8 @@
 use crate::mirror::{Change, Known, Mirror};
 use crate::world::World;
 
+/// The pause before a VM looks again whether it is to watch the store.
+const IDLE_PAUSE: Millis = Millis(200);
 /// The pause between two readings of a watch. Backend servers write about once a second
 /// each, so a watch that answered each write would cost a call for each; a pause lets them
 /// gather. With the store's answer it is well under the time in which changes must be in
@@ -39,7 +43,8 @@
     last_word: Cell<Option<Millis>>,
     lost: Cell<bool>,
     settled_at: Cell<Millis>,
-    regained: RefCell<Option<Rc<dyn Fn()>>>,
+    is_watcher: RefCell<Option<Rc<dyn Fn() -> bool>>>,
+    news: RefCell<Flag>,
 }
 
 impl Feed {
@@ -54,7 +59,8 @@
             last_word: Cell::new(None),
             lost: Cell::new(false),
             settled_at: Cell::new(Millis(0)),
-            regained: RefCell::default(),
+            is_watcher: RefCell::default(),
+            news: RefCell::default(),
         })
     }
 
@@ -63,9 +69,21 @@
         self.mirror.borrow()
     }
 
-    /// Sets what is done when the store answers again.
-    pub fn on_regained(&self, act: impl Fn() + 'static) {
-        *self.regained.borrow_mut() = Some(Rc::new(act));
+    /// Sets what tells whether this VM is one of those that watch the store.
+    pub fn watch_where(&self, is_watcher: impl Fn() -> bool + 'static) {
+        *self.is_watcher.borrow_mut() = Some(Rc::new(is_watcher));
+    }
+
+    /// Gives an event that happens when a change comes that peers need.
+    pub fn news(&self) -> Flag {
+        self.news.borrow().clone()
+    }
+
+    /// Says whether this VM is to call the store: it is a watcher, or nobody else has told it
+    /// anything lately.
+    pub fn is_to_watch(&self) -> bool {
+        let is_watcher = self.is_watcher.borrow().clone();
+        !self.is_fresh() || is_watcher.is_none_or(|is_watcher| is_watcher())
     }
 
     /// Says whether the store was heard from lately.
@@ -86,32 +104,37 @@
         let first = std::time::Duration::from_millis(50);
         let backoff = Backoff::new(first, LONGEST_PAUSE, fastrand::Rng::new());
         let mut failures = 0;
-        let mut needs_list = true;
+        let mut forgotten = false;
         loop {
-            match self.follow_once(&mut needs_list, &mut failures).await {
-                Ok(()) => {}
+            if !self.is_to_watch() {
+                self.timer.wait(IDLE_PAUSE).await;
+                continue;
+            }
+            match self.follow_once(&mut forgotten, &mut failures).await {
+                Ok(()) => continue,
                 Err(error) => {
                     failures += 1;
-                    needs_list |= matches!(error.source, Cause::Compacted { .. });
+                    forgotten |= matches!(error.source, Cause::Compacted { .. });
                     self.note_failure(&error);
                 }
             }
-            backoff.pause(failures.max(1)).await;
+            backoff.pause(failures).await;
         }
     }
 
+    /// Watches until this VM need not any more. A list is read first where nothing is held
+    /// yet, or the store has `forgotten` what came after what is held.
     async fn follow_once(
         &self,
-        needs_list: &mut bool,
+        forgotten: &mut bool,
         failures: &mut u32,
     ) -> Result<(), StoreError> {
-        if *needs_list {
+        if *forgotten || self.mirror.borrow().at() == StoreRevision(0) {
             self.list().await?;
-            *needs_list = false;
-            *failures = 0;
+            *forgotten = false;
         }
         let mut watch = self.watch().await?;
-        loop {
+        while self.is_to_watch() {
             let began = self.timer.now();
             let Some(message) = watch.next().await else {
                 return Ok(());
@@ -121,6 +144,7 @@
             let spent = self.timer.now().since(began);
             self.timer.wait(WATCH_PAUSE - spent).await;
         }
+        Ok(())
     }
 
     async fn watch(&self) -> Result<WatchStream, StoreError> {
@@ -153,13 +177,34 @@
         let news: Vec<Change> = changes.into_iter().filter(|c| mirror.apply(c)).collect();
         mirror.advance(at);
         drop(mirror);
-        self.world.borrow_mut().take(&news, settled);
+        self.take_news(&news, settled);
     }
 
     /// Takes in a whole list that was read at revision `at`.
     pub fn take_list(&self, listed: Vec<Change>, at: StoreRevision, settled: bool) {
         let news = self.mirror.borrow_mut().replace(listed, at);
-        self.world.borrow_mut().take(&news, settled);
+        self.take_news(&news, settled);
+    }
+
+    fn take_news(&self, news: &[Change], settled: bool) {
+        let mattering: Vec<&Change> = {
+            let world = self.world.borrow();
+            news.iter().filter(|change| world.matters(change)).collect()
+        };
+        self.world.borrow_mut().take(news, settled);
+        let mut mirror = self.mirror.borrow_mut();
+        mattering
+            .iter()
+            .for_each(|change| mirror.mark_mattered(&change.key));
+        drop(mirror);
+        if !mattering.is_empty() {
+            self.news.take().fire();
+        }
+    }
+
+    /// Notes that a peer that hears from the store has told what it knows.
+    pub fn heard_from_peer(&self) {
+        self.last_word.set(Some(self.timer.now()));
     }
 
     fn heard(&self) {
@@ -172,9 +217,6 @@
         if self.lost.replace(false) || silent {
             info!(store:% = self.store.peer, quiet_ms = quiet.unwrap_or_default().0; "the store answers again");
             self.settled_at.set(now + self.settle);
-            if let Some(act) = &*self.regained.borrow() {
-                act();
-            }
         }
     }
 
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -21,6 +21,15 @@
     pub value: Option<Bytes>,
 }
 
+/// What is held of one key.
+#[derive(Debug)]
+struct Held {
+    known: Known,
+    /// The revision of the last change that peers need. A backend server's entry that only
+    /// says that the server still lives is none.
+    mattered: StoreRevision,
+}
+
 /// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -33,7 +42,7 @@
 /// The keys as far as they are known.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    keys: BTreeMap<String, Known>,
+    keys: BTreeMap<String, Held>,
     /// Every change up to this revision is here.
     at: StoreRevision,
     /// Deletions at or below this revision may have been forgotten.
@@ -48,7 +57,7 @@
 
     /// Gives the value of a key.
     pub fn get(&self, key: &str) -> Option<&Bytes> {
-        self.keys.get(key)?.value.as_ref()
+        self.keys.get(key)?.known.value.as_ref()
     }
 
     /// Gives the keys that begin with `prefix` and exist.
@@ -58,21 +67,40 @@
     ) -> impl Iterator<Item = (&'a str, &'a Bytes)> {
         let from = self.keys.range(prefix.to_owned()..);
         from.take_while(move |(key, _)| key.starts_with(prefix))
-            .filter_map(|(key, known)| Some((key.as_str(), known.value.as_ref()?)))
+            .filter_map(|(key, held)| Some((key.as_str(), held.known.value.as_ref()?)))
     }
 
     /// Takes in one change; says whether it was news.
     pub fn apply(&mut self, change: &Change) -> bool {
         match self.keys.get(&change.key) {
-            Some(known) if known.revision >= change.known.revision => false,
+            Some(held) if held.known.revision >= change.known.revision => false,
             None if change.known.value.is_none() && change.known.revision <= self.floor => false,
             _ => {
-                self.keys.insert(change.key.clone(), change.known.clone());
+                self.insert(change);
                 true
             }
         }
     }
 
+    fn insert(&mut self, change: &Change) {
+        let known = change.known.clone();
+        match self.keys.get_mut(&change.key) {
+            Some(held) => held.known = known,
+            None => {
+                let mattered = known.revision;
+                self.keys
+                    .insert(change.key.clone(), Held { known, mattered });
+            }
+        }
+    }
+
+    /// Notes that peers need the last change of a key.
+    pub fn mark_mattered(&mut self, key: &str) {
+        if let Some(held) = self.keys.get_mut(key) {
+            held.mattered = held.known.revision;
+        }
+    }
+
     /// Notes that every change up to `at` has been taken in.
     pub fn advance(&mut self, at: StoreRevision) {
         self.at = self.at.max(at);
@@ -88,7 +116,8 @@
         let gone: Vec<Change> = self
             .keys
             .iter()
-            .filter(|(key, known)| {
+            .filter(|(key, held)| {
+                let known = &held.known;
                 known.value.is_some() && known.revision <= at && !present.contains(key.as_str())
             })
             .map(|(key, _)| Change {
@@ -101,7 +130,7 @@
             .collect();
         let mut changed = Vec::new();
         for change in gone {
-            self.keys.insert(change.key.clone(), change.known.clone());
+            self.insert(&change);
             changed.push(change);
         }
         for change in listed {
@@ -114,35 +143,38 @@
         changed
     }
 
-    /// Gives what changed after `after`, or nothing where that is no longer known.
+    /// Gives the changes after `after` that matter, or nothing where that is no longer known.
     pub fn since(&self, after: StoreRevision) -> Option<Vec<Change>> {
         if after < self.floor {
             return None;
         }
-        let newer = self.keys.iter().filter(|(_, known)| known.revision > after);
+        let newer = self.keys.iter().filter(|(_, held)| held.mattered > after);
         Some(newer.map(to_change).collect())
     }
 
     /// Gives every key that exists.
     pub fn all(&self) -> Vec<Change> {
-        let existing = self.keys.iter().filter(|(_, known)| known.value.is_some());
+        let existing = self
+            .keys
+            .iter()
+            .filter(|(_, held)| held.known.value.is_some());
         existing.map(to_change).collect()
     }
 
     fn forget_deleted(&mut self) {
-        let deleted = |known: &Known| known.value.is_none();
-        if self.keys.values().filter(|known| deleted(known)).count() <= MAX_DELETED {
+        let deleted = |held: &Held| held.known.value.is_none();
+        if self.keys.values().filter(|held| deleted(held)).count() <= MAX_DELETED {
             return;
         }
         self.floor = self.at;
-        self.keys.retain(|_, known| !deleted(known));
+        self.keys.retain(|_, held| !deleted(held));
     }
 }
 
-fn to_change((key, known): (&String, &Known)) -> Change {
+fn to_change((key, held): (&String, &Held)) -> Change {
     Change {
         key: key.clone(),
-        known: known.clone(),
+        known: held.known.clone(),
     }
 }
 
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -1,8 +1,9 @@
-//! What changed in the store, asked of peers while the store turns this VM away.
+//! What changed in the store, heard from peers.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
+use futures_util::future::select;
 use heatherknot_peer::options::CallOptions;
 use heatherknot_peer::{MethodTable, PeerError};
 use heatherknot_store::port::StoreRevision;
@@ -16,11 +17,15 @@
 
 /// The method that gives what changed after a revision.
 const CHANGES: &str = "e.changes";
-/// The pause between two questions while the store is quiet. Half a second and the answer's
-/// way are well under the time in which changes must be in force.
-const ASK_PAUSE: Millis = Millis(400);
+/// How long an answer is held back while nothing changes that matters. It is well under the
+/// time after which a VM that hears nothing watches the store itself.
+const HOLD: Millis = Millis(600);
 /// The time allowed for an answer.
-const ASK_LIMIT: Millis = Millis(800);
+const ASK_LIMIT: Millis = Millis(1_100);
+/// The pause after a question that brought nothing of use.
+const FAILED_PAUSE: Millis = Millis(200);
+/// The pause between two looks at whether this VM is to ask.
+const IDLE_PAUSE: Millis = Millis(200);
 
 /// One key on its way between daemons.
 #[derive(Debug, Serialize, Deserialize)]
@@ -41,6 +46,10 @@
     at: u64,
     #[serde(rename = "w")]
     whole: bool,
+    /// Whether the daemon that was asked hears from the store.
+    #[serde(rename = "f")]
+    fresh: bool,
+    /// Whether a missing entry means that it was taken away.
     #[serde(rename = "s")]
     settled: bool,
     #[serde(rename = "c")]
@@ -48,11 +57,20 @@
 }
 
 /// Registers the method that answers peers.
-pub fn register(methods: &mut MethodTable, feed: &Rc<Feed>) {
-    let feed = Rc::clone(feed);
+pub fn register(methods: &mut MethodTable, feed: &Rc<Feed>, timer: &Timer) {
+    let (feed, timer) = (Rc::clone(feed), timer.clone());
     methods.register(CHANGES, move |_, after: u64| {
-        let answer = changes_after(&feed, StoreRevision(after));
-        async move { Ok(answer) }
+        let (feed, timer) = (Rc::clone(&feed), timer.clone());
+        async move {
+            let after = StoreRevision(after);
+            let news = feed.news();
+            let now = changes_after(&feed, after);
+            if !now.keys.is_empty() || now.whole {
+                return Ok(now);
+            }
+            select(news.wait(), timer.wait(HOLD)).await;
+            Ok(changes_after(&feed, after))
+        }
     });
 }
 
@@ -64,48 +82,73 @@
     Changes {
         at: mirror.at().0,
         whole,
+        fresh: feed.is_fresh(),
         settled: feed.is_settled(),
         keys: changes.into_iter().map(to_sent).collect(),
     }
 }
 
-/// Asks peers for as long as the store is quiet.
+/// Hears from peers for as long as this VM does not watch the store, or the store is quiet.
 pub async fn run(cx: Rc<EdgeContext>) {
     loop {
-        cx.timer.wait(ASK_PAUSE).await;
-        if cx.feed.is_fresh() || cx.leaving.is_fired() {
+        if cx.leaving.is_fired() || (cx.feed.is_to_watch() && cx.feed.is_fresh()) {
+            cx.timer.wait(IDLE_PAUSE).await;
             continue;
         }
-        if let Err(error) = ask_one(&cx).await {
-            debug!(error:% = error; "a peer could not be asked for what changed");
+        match ask_one(&cx).await {
+            Ok(true) => {}
+            Ok(false) => cx.timer.wait(FAILED_PAUSE).await,
+            Err(error) => {
+                debug!(error:% = error; "a peer could not be asked for what changed");
+                cx.timer.wait(FAILED_PAUSE).await;
+            }
         }
     }
 }
 
-async fn ask_one(cx: &EdgeContext) -> Result<(), PeerError> {
+/// Asks one peer for what changed; says whether it hears from the store.
+async fn ask_one(cx: &EdgeContext) -> Result<bool, PeerError> {
     let after = cx.feed.mirror().at();
-    let opts = CallOptions::quick(ASK_LIMIT);
-    let answer: Changes = match cx.membership.random_peer() {
+    let opts = CallOptions::idempotent(ASK_LIMIT);
+    let answer: Changes = match source(cx) {
         Some(vm) => cx.net.call_with(&vm, CHANGES, &after.0, opts).await?,
         None => {
             let own = cx.cfg.listen.peers;
             let seeds: Vec<_> = cx.cfg.seeds.iter().filter(|s| **s != own).collect();
             let Some(seed) = cx.rng.borrow_mut().choice(seeds).copied() else {
-                return Ok(());
+                return Ok(false);
             };
             cx.net.call_address(seed, CHANGES, &after.0, opts).await?
         }
     };
-    if answer.at <= after.0 {
-        return Ok(());
+    if answer.fresh {
+        cx.feed.heard_from_peer();
+    }
+    let fresh = answer.fresh;
+    if answer.at >= after.0 {
+        take(cx, answer);
+    }
+    Ok(fresh)
+}
+
+/// Gives the VM to ask: a watcher of this domain, or any VM once nothing is heard.
+fn source(cx: &EdgeContext) -> Option<VmName> {
+    if cx.feed.is_fresh() {
+        let watchers = cx.membership.watchers();
+        if let Some(vm) = watchers.into_iter().find(|vm| *vm != cx.cfg.vm) {
+            return Some(vm);
+        }
     }
+    cx.membership.random_peer()
+}
+
+fn take(cx: &EdgeContext, answer: Changes) {
     let at = StoreRevision(answer.at);
     let keys = answer.keys.into_iter().map(from_sent).collect();
     match answer.whole {
         true => cx.feed.take_list(keys, at, answer.settled),
         false => cx.feed.take_changes(keys, at, answer.settled),
     }
-    Ok(())
 }
 
 fn to_sent(change: Change) -> SentKey {
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -59,7 +59,10 @@
     };
     let spent = now.since(call.started).0 as f64;
     let late = best.finish + spent > call.route.latency_target.0 as f64 * LATE_PART;
-    if best.finish > left.0 as f64 * USEFUL_PART || (late && !best.free) {
+    // A free server gets the request even if it is expected to end late: what is expected is
+    // learned from other routes' requests, and a refusal would leave the server idle.
+    let useless = best.finish > left.0 as f64 * USEFUL_PART;
+    if !best.free && (late || useless) {
         let over = (best.finish - best.work).max(0.0);
         let come_back = Millis(over as u64).min(Millis(left.0 / 3));
         return Err(refuse(
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -18,9 +18,9 @@
 const VM_KEYS: &str = "hk/vm/";
 /// How long an entry outlives its VM. A VM that is gone must leave look-up answers within a
 /// few seconds; a lease much shorter would be lost at each hiccup of the store.
-const LEASE: Millis = Millis(4_000);
+const LEASE: Millis = Millis(6_000);
 /// How often the lease is extended, so that two extensions may fail.
-const EXTEND_EVERY: Millis = Millis(1_200);
+const EXTEND_EVERY: Millis = Millis(2_000);
 /// How long a written entry may take to show in the copy of the store's keys.
 const SHOWN_AFTER: Millis = Millis(2_500);
 
--- a/crates/edge/src/world.rs
+++ b/crates/edge/src/world.rs
@@ -99,6 +99,32 @@
         }
     }
 
+    /// Says whether peers need a change: an entry by which a backend server only says that
+    /// it still lives is none. There are far more of those than of all others.
+    pub fn matters(&self, change: &Change) -> bool {
+        let servers = self.dialect.keys.servers;
+        let Some(value) = change
+            .known
+            .value
+            .as_ref()
+            .filter(|_| change.key.starts_with(servers))
+        else {
+            return true;
+        };
+        let upstream = self.upstreams.get(&change.key[servers.len()..]);
+        let Some(upstream) = upstream.filter(|u| !u.cold_unless_told.get()) else {
+            return true;
+        };
+        match (self.dialect.registration)(&change.key, value) {
+            Ok(reg) => {
+                reg.cold_left.0 > 0
+                    || reg.leaving != upstream.leaving.get()
+                    || self.missing.contains(&reg.id)
+            }
+            Err(_) => true,
+        }
+    }
+
     /// Drops the backend servers whose entries are still missing.
     pub fn settle(&mut self) {
         let missing = std::mem::take(&mut self.missing);
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -358,6 +358,20 @@
             .count()
     }
 
+    /// Gives the live VMs of this daemon's domain whose [`rank`](Self::rank) is below `count`,
+    /// the first one first; this daemon may be among them.
+    pub fn first_ranked(&self, count: usize) -> Vec<VmName> {
+        let weight = |vm: &VmName| hash::rendezvous(&[], vm.as_str());
+        let alive = self
+            .in_domain()
+            .filter(|m| m.claim.state == MemberState::Alive);
+        let mut vms: Vec<VmName> = alive.map(|m| m.claim.id.vm.clone()).collect();
+        vms.push(self.me.id.vm.clone());
+        vms.sort_by_key(|vm| std::cmp::Reverse(weight(vm)));
+        vms.truncate(count);
+        vms
+    }
+
     /// Gives when a VM of the domain last gave a sign of life.
     pub fn contact(&self, domain: &DomainName) -> Option<Millis> {
         self.contacts.get(domain).copied()
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -203,6 +203,12 @@
         self.state.is_watcher()
     }
 
+    /// Gives the VMs of this daemon's domain that watch the store, the first one first.
+    pub fn watchers(&self) -> Vec<VmName> {
+        let count = self.state.options.watchers;
+        self.state.members.borrow().first_ranked(count)
+    }
+
     /// Gives the live VMs of this daemon's domain.
     pub fn domain_peers(&self) -> Vec<VmName> {
         let members = self.state.members.borrow();
