Tell the age of the store's word along with it

Cause: VMs that peers had told something counted themselves as in touch with the store, and told others so. Ruled out: lost revisions at a dropped history; entries passed over as unimportant.

Change: each answer carries how long ago the store said it; only that counts.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -29,7 +29,7 @@
 /// force.
 const WATCH_PAUSE: Millis = Millis(700);
 /// Without word from the store for this long, peers are asked.
-const QUIET_LIMIT: Millis = Millis(1_400);
+const QUIET_LIMIT: Millis = Millis(1_700);
 /// The longest pause between two tries of a store that does not answer.
 const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(800);
 
@@ -40,6 +40,7 @@
     mirror: RefCell<Mirror>,
     world: Rc<RefCell<World>>,
     settle: Millis,
+    /// The time of the newest word of the store, first hand or through peers.
     last_word: Cell<Option<Millis>>,
     lost: Cell<bool>,
     settled_at: Cell<Millis>,
@@ -202,9 +203,27 @@
         }
     }
 
-    /// Notes that a peer that hears from the store has told what it knows.
-    pub fn heard_from_peer(&self) {
-        self.last_word.set(Some(self.timer.now()));
+    /// Gives how old the newest word of the store is.
+    pub fn age(&self) -> Option<Millis> {
+        let now = self.timer.now();
+        self.last_word.get().map(|at| now.since(at))
+    }
+
+    /// Notes that a peer has told what the store said `age` ago.
+    ///
+    /// The age is passed on with every word. Two VMs that are both cut off from the store
+    /// would otherwise take each other's answers for the store's for ever.
+    pub fn heard_from_peer(&self, age: Millis) {
+        let now = self.timer.now();
+        let said = now - age;
+        if self.last_word.get().is_some_and(|last| last >= said) {
+            return;
+        }
+        self.last_word.set(Some(said));
+        if age < QUIET_LIMIT && self.lost.replace(false) {
+            info!(age_ms = age.0; "peers tell what the store says");
+            self.settled_at.set(now + self.settle);
+        }
     }
 
     fn heard(&self) {
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -19,7 +19,7 @@
 const CHANGES: &str = "e.changes";
 /// How long an answer is held back while nothing changes that matters. It is well under the
 /// time after which a VM that hears nothing watches the store itself.
-const HOLD: Millis = Millis(600);
+const HOLD: Millis = Millis(400);
 /// The time allowed for an answer.
 const ASK_LIMIT: Millis = Millis(1_100);
 /// The pause after a question that brought nothing of use.
@@ -46,9 +46,9 @@
     at: u64,
     #[serde(rename = "w")]
     whole: bool,
-    /// Whether the daemon that was asked hears from the store.
-    #[serde(rename = "f")]
-    fresh: bool,
+    /// How long ago the store said the newest of it, where it said anything.
+    #[serde(rename = "o")]
+    age_ms: Option<Millis>,
     /// Whether a missing entry means that it was taken away.
     #[serde(rename = "s")]
     settled: bool,
@@ -82,7 +82,7 @@
     Changes {
         at: mirror.at().0,
         whole,
-        fresh: feed.is_fresh(),
+        age_ms: feed.age(),
         settled: feed.is_settled(),
         keys: changes.into_iter().map(to_sent).collect(),
     }
@@ -121,14 +121,13 @@
             cx.net.call_address(seed, CHANGES, &after.0, opts).await?
         }
     };
-    if answer.fresh {
-        cx.feed.heard_from_peer();
+    if let Some(age) = answer.age_ms {
+        cx.feed.heard_from_peer(age);
     }
-    let fresh = answer.fresh;
     if answer.at >= after.0 {
         take(cx, answer);
     }
-    Ok(fresh)
+    Ok(cx.feed.is_fresh())
 }
 
 /// Gives the VM to ask: a watcher of this domain, or any VM once nothing is heard.
