--- /dev/null
+++ b/crates/edge/tests/decisions.rs
@@ -0,0 +1,211 @@
+//! The decisions as plain functions: choice, threshold, budget, split, windows.
+
+mod support;
+
+use std::rc::Rc;
+
+use heatherknot_edge::budget::RetryBudget;
+use heatherknot_edge::catalog::Target;
+use heatherknot_edge::choose::{Wish, choose};
+use heatherknot_edge::pace::Pace;
+use heatherknot_edge::settings::Bounds;
+use heatherknot_edge::spill::{Room, Spill};
+use heatherknot_edge::split::Split;
+use heatherknot_edge::upstream::{ServerLoad, Upstream};
+use heatherknot_edge::window::Window;
+use heatherknot_types::prelude::*;
+use support::{TestClock, upstream};
+
+fn wish(object: u64, region: &RegionName, now: Millis) -> Wish<'_> {
+    Wish {
+        object,
+        sticky: true,
+        region,
+        target: Millis(600),
+        left: Millis(1_500),
+        now,
+    }
+}
+
+fn fleet(clock: &Clock) -> Vec<Rc<Upstream>> {
+    let names = ["a", "b", "c", "d"];
+    let north = names.map(|n| upstream(&format!("n-{n}"), "north", clock));
+    let south = names.map(|n| upstream(&format!("s-{n}"), "south", clock));
+    north.into_iter().chain(south).collect()
+}
+
+#[test]
+fn two_vms_choose_the_same_server_for_an_object() {
+    let clock = TestClock::default().clock();
+    let (one, mut other) = (fleet(&clock), fleet(&clock));
+    other.reverse();
+    let region = "north".into();
+    for object in 0..100 {
+        let wish = wish(object, &region, clock.now());
+        let first = choose(&wish, &one, &Pace::default(), false).expect("there are servers");
+        let second = choose(&wish, &other, &Pace::default(), false).expect("there are servers");
+        assert_eq!(first.upstream.id, second.upstream.id);
+        assert_eq!(first.upstream.region, region);
+    }
+}
+
+#[test]
+fn a_full_server_keeps_its_object_while_waiting_is_shorter_than_the_work_afresh() {
+    let clock = TestClock::default().clock();
+    let servers = fleet(&clock);
+    let region = "north".into();
+    let pace = Pace::default();
+    let wish = wish(1, &region, clock.now());
+    let home = choose(&wish, &servers, &pace, false)
+        .expect("there are servers")
+        .upstream;
+    let _three: Vec<_> = (0..3).map(|_| home.begin()).collect();
+    let with_one_waiting = choose(&wish, &servers, &pace, false).expect("there are servers");
+    assert_eq!(with_one_waiting.upstream.id, home.id);
+    assert!(!with_one_waiting.free);
+    let _many: Vec<_> = (0..12).map(|_| home.begin()).collect();
+    let with_many = choose(&wish, &servers, &pace, false).expect("there are servers");
+    assert_ne!(with_many.upstream.id, home.id);
+    assert_eq!(
+        with_many.upstream.region, region,
+        "others of the region come first"
+    );
+}
+
+/// Story: a server was full once, so this VM sent it nothing more, and so never heard that
+/// it was free again: one VM refused two requests of three while its neighbours served all.
+#[test]
+fn what_a_server_told_of_its_load_fades() {
+    let test = TestClock::default();
+    let clock = test.clock();
+    let server = upstream("a", "north", &clock);
+    let full = ServerLoad {
+        running: 3,
+        waiting: 9,
+        slots: 3,
+    };
+    server.note_load(full, clock.now());
+    assert!(server.load(0.0, clock.now()) > 11.0);
+    test.advance(7_000);
+    assert!(server.load(0.0, clock.now()) < 0.1);
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_is_tried_by_one_request_at_a_time() {
+    let test = TestClock::default();
+    let clock = test.clock();
+    let server = upstream("a", "north", &clock);
+    server.note_failure(clock.now());
+    assert!(!server.is_reachable(clock.now()));
+    test.advance(300);
+    assert!(server.is_reachable(clock.now()));
+    let trial = server.begin();
+    assert!(!server.is_reachable(clock.now()));
+    drop(trial);
+    server.note_answer(1, None, clock.now());
+    assert!(server.is_reachable(clock.now()));
+}
+
+const EVEN: Room = Room {
+    own: 10.0,
+    elsewhere: 20.0,
+    regions: 3,
+};
+
+#[test]
+fn a_region_with_its_part_of_the_slots_sends_nothing_away() {
+    let spill = Spill::default();
+    spill.step(EVEN, Millis(1_000));
+    assert!(spill.part() < 1e-9);
+    assert!((0..1000).all(|object| !spill.is_away(object)));
+}
+
+#[test]
+fn a_region_with_few_slots_sends_the_missing_part_away() {
+    let spill = Spill::default();
+    let few = Room {
+        own: 5.0,
+        elsewhere: 25.0,
+        regions: 3,
+    };
+    spill.step(few, Millis(1_000));
+    assert!((spill.part() - 0.5).abs() < 1e-9);
+    let away = (0..1000).filter(|object| spill.is_away(*object)).count();
+    assert!((400..600).contains(&away), "{away} of 1000");
+}
+
+/// Callers' requests may not be moved from one region to another all at once: at most 0.15
+/// of them in two seconds.
+#[test]
+fn the_threshold_moves_slowly_whatever_the_load() {
+    let spill = Spill::default();
+    spill.step(EVEN, Millis(0));
+    for at in 1..=80 {
+        (0..50).for_each(|_| spill.note(true, 4.0));
+        spill.note(false, 0.1);
+        let before = spill.part();
+        spill.step(EVEN, Millis(at * 250));
+        assert!(spill.part() - before <= 0.04 * 0.25 + 1e-9);
+    }
+    assert!(spill.part() > 0.3, "a busy region sends objects away");
+}
+
+#[test]
+fn nobody_serves_at_home_where_there_are_no_slots() {
+    let spill = Spill::default();
+    spill.step(EVEN, Millis(0));
+    let none = Room { own: 0.0, ..EVEN };
+    spill.step(none, Millis(250));
+    assert!((0..100).all(|object| spill.is_away(object)));
+}
+
+#[test]
+fn all_vms_together_stay_under_the_budget_of_further_sends() {
+    let bounds = Bounds {
+        retry_ratio: 0.2,
+        retry_slack: 58.0,
+        retry_window: Millis(10_000),
+        ..Bounds::default()
+    };
+    let vms = 9;
+    let mut budgets: Vec<_> = (0..vms).map(|_| RetryBudget::new(&bounds)).collect();
+    let mut taken = 0;
+    for at in 0..100 {
+        for budget in &mut budgets {
+            budget.request(Millis(at * 100));
+            taken += usize::from(budget.take(Millis(at * 100), vms));
+        }
+    }
+    let most = 0.2 * 900.0 + 58.0;
+    assert!(taken as f64 <= most, "{taken} of {most}");
+    assert!(taken > 100, "{taken}: the budget is there to be used");
+}
+
+#[test]
+fn a_split_gives_each_target_its_part_of_every_run() {
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    let targets = [
+        target("gallery", 90),
+        target("studio", 10),
+        target("old", 0),
+    ];
+    let mut split = Split::default();
+    let mut studio = 0;
+    for sent in 1..=200_i32 {
+        let next = split.next(&targets).expect("there are targets");
+        assert_ne!(next.service.as_str(), "old");
+        studio += i32::from(next.service.as_str() == "studio");
+        assert!((studio * 10 - sent).abs() <= 10, "{studio} of {sent}");
+    }
+}
+
+#[test]
+fn a_window_forgets_what_is_older_than_its_span() {
+    let mut window = Window::new(Millis(10_000));
+    window.add(Millis(0), 5.0);
+    assert!((window.total(Millis(9_000)) - 5.0).abs() < 1e-9);
+    assert!(window.total(Millis(11_000)).abs() < 1e-9);
+}
--- /dev/null
+++ b/crates/edge/tests/feed.rs
@@ -0,0 +1,116 @@
+//! Who counts as in touch with the store, and when a missing entry means that it is gone.
+
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use heatherknot_edge::feed::Feed;
+use heatherknot_edge::world::World;
+use heatherknot_store::port::{Store, StoreRevision};
+use heatherknot_types::prelude::*;
+use support::{TestClock, delete, entry, put, world};
+
+/// A store that nothing answers: these tests say themselves what was heard.
+fn silent_store() -> Store {
+    Store {
+        peer: "127.0.0.1:9".parse().expect("an address"),
+        range: Rc::new(|_| Box::pin(std::future::pending())),
+        txn: Rc::new(|_| Box::pin(std::future::pending())),
+        lease_grant: Rc::new(|_| Box::pin(std::future::pending())),
+        lease_keepalive: Rc::new(|_| Box::pin(std::future::pending())),
+        lease_revoke: Rc::new(|_| Box::pin(std::future::pending())),
+        watch: Rc::new(|_| Box::pin(std::future::pending())),
+    }
+}
+
+fn feed(clock: &TestClock) -> (Rc<Feed>, Rc<RefCell<World>>) {
+    let world = Rc::new(RefCell::new(world(&clock.clock())));
+    let settle = Millis(2_500);
+    let feed = Feed::new(silent_store(), clock.timer(), Rc::clone(&world), settle);
+    feed.watch_where(|| false);
+    (feed, world)
+}
+
+fn servers(world: &RefCell<World>) -> usize {
+    world.borrow().upstreams(&"gallery".into()).len()
+}
+
+/// Story: two VMs are cut off from the store and reach each other. Each asks the other what
+/// changed, and counts the answer as a word of the store. Neither ever watches the store
+/// again, and both serve an old configuration long after the cut has healed.
+#[test]
+fn two_vms_without_the_store_do_not_vouch_for_each_other() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (one, _) = feed(&clock);
+    let (other, _) = feed(&clock);
+    one.heard_from_peer(Millis(100));
+    other.heard_from_peer(Millis(100));
+    assert!(!one.is_to_watch(), "both have just heard of the store");
+
+    for _ in 0..20 {
+        clock.advance(200);
+        let age = other.age().expect("it has heard once");
+        one.heard_from_peer(age);
+        let age = one.age().expect("it has heard once");
+        other.heard_from_peer(age);
+    }
+
+    assert!(!one.is_fresh());
+    assert!(one.is_to_watch() && other.is_to_watch());
+}
+
+/// Story: a VM loses the store, its domain's watcher does not. A server's entry is removed
+/// meanwhile. The VM hears so from the watcher but waits for the store to settle, which it
+/// never calls again: the server gets requests for good.
+#[test]
+fn a_vm_that_hears_from_peers_again_drops_servers_that_are_gone() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (feed, world) = feed(&clock);
+    let joined = vec![put("server/a", entry("ready", 0, 1), 3)];
+    feed.take_changes(joined, StoreRevision(3), true);
+    assert_eq!(servers(&world), 1);
+
+    feed.take_changes(
+        vec![delete("server/a", 4)],
+        StoreRevision(4),
+        feed.is_settled(),
+    );
+    assert_eq!(servers(&world), 1, "its entry may come back");
+    feed.heard_from_peer(Millis(50));
+    clock.advance(2_600);
+    feed.heard_from_peer(Millis(50));
+
+    assert!(feed.is_settled());
+    world.borrow_mut().settle();
+    assert_eq!(servers(&world), 0);
+}
+
+#[test]
+fn an_event_tells_of_changes_that_peers_need_and_of_no_others() {
+    let clock = TestClock::default();
+    let (feed, _) = feed(&clock);
+    let news = feed.news();
+    feed.take_changes(
+        vec![put("server/a", entry("ready", 0, 1), 3)],
+        StoreRevision(3),
+        true,
+    );
+    assert!(news.is_fired());
+
+    let news = feed.news();
+    feed.take_changes(
+        vec![put("server/a", entry("ready", 0, 2), 4)],
+        StoreRevision(4),
+        true,
+    );
+    assert!(!news.is_fired(), "the server only says that it lives");
+    feed.take_changes(
+        vec![put("server/a", entry("leaving", 0, 3), 5)],
+        StoreRevision(5),
+        true,
+    );
+    assert!(news.is_fired());
+}
--- /dev/null
+++ b/crates/edge/tests/mirror.rs
@@ -0,0 +1,61 @@
+//! The copy of the store's keys: the higher revision wins, whoever brings it.
+
+mod support;
+
+use bytes::Bytes;
+use heatherknot_edge::mirror::Mirror;
+use heatherknot_store::port::StoreRevision;
+use support::{delete, put};
+
+#[test]
+fn a_late_word_changes_nothing() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.apply(&put("a", "new", 7)));
+    assert!(!mirror.apply(&put("a", "old", 5)));
+    assert!(!mirror.apply(&delete("a", 6)));
+    assert_eq!(mirror.get("a"), Some(&Bytes::from("new")));
+}
+
+#[test]
+fn a_deleted_key_stays_deleted_for_an_older_word() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("a", "x", 3));
+    mirror.apply(&delete("a", 4));
+    assert!(!mirror.apply(&put("a", "x", 3)));
+    assert_eq!(mirror.get("a"), None);
+}
+
+/// Pages of a list are read one after the other while the store changes, so a watch may have
+/// brought a key that the list, read from an earlier revision on, does not have.
+#[test]
+fn a_list_takes_away_only_what_is_older_than_itself() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("gone", "x", 3));
+    mirror.apply(&put("newer", "x", 9));
+    let changed = mirror.replace(vec![put("kept", "x", 2)], StoreRevision(5));
+    let keys: Vec<&str> = changed.iter().map(|c| c.key.as_str()).collect();
+    assert_eq!(keys, ["gone", "kept"]);
+    assert_eq!(mirror.get("newer"), Some(&Bytes::from("x")));
+    assert_eq!(mirror.at(), StoreRevision(5));
+}
+
+#[test]
+fn peers_get_what_matters_after_their_revision() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("config", "1", 2));
+    mirror.apply(&put("server", "seq 1", 3));
+    mirror.apply(&put("server", "seq 2", 6));
+    mirror.advance(StoreRevision(6));
+    assert_eq!(mirror.since(StoreRevision(3)), Some(Vec::new()));
+    mirror.mark_mattered("server");
+    let news = mirror.since(StoreRevision(3)).expect("all is known");
+    assert_eq!(news, [put("server", "seq 2", 6)]);
+}
+
+#[test]
+fn a_peer_from_before_the_list_gets_a_whole_copy() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![put("a", "x", 2)], StoreRevision(5));
+    assert_eq!(mirror.since(StoreRevision(4)), None);
+    assert_eq!(mirror.all(), [put("a", "x", 2)]);
+}
--- /dev/null
+++ b/crates/edge/tests/support/mod.rs
@@ -0,0 +1,182 @@
+//! Fixtures: a clock that tests advance, registrations and a dialect of plain text.
+
+#![allow(dead_code)]
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use heatherknot_edge::catalog::{Catalog, Route, ServiceSpec, Target};
+use heatherknot_edge::dialect::{Dialect, HeaderNames, KeyNames, LookupAnswer, LookupQuery};
+use heatherknot_edge::mirror::{Change, Known};
+use heatherknot_edge::registration::Registration;
+use heatherknot_edge::upstream::Upstream;
+use heatherknot_edge::world::World;
+use heatherknot_http::{PoolConfig, Response};
+use heatherknot_store::port::StoreRevision;
+use heatherknot_types::prelude::*;
+use http::{HeaderName, StatusCode};
+
+/// A clock that a test sets.
+#[derive(Clone, Default)]
+pub struct TestClock {
+    now: Rc<Cell<u64>>,
+}
+
+impl TestClock {
+    pub fn clock(&self) -> Clock {
+        let now = Rc::clone(&self.now);
+        Clock::new(move || Millis(now.get()))
+    }
+
+    pub fn timer(&self) -> Timer {
+        Timer {
+            clock: self.clock(),
+            sleep: Rc::new(|_| Box::pin(std::future::pending())),
+        }
+    }
+
+    pub fn advance(&self, millis: u64) {
+        self.now.set(self.now.get() + millis);
+    }
+}
+
+pub fn registration(id: &str, domain: &str) -> Registration {
+    Registration {
+        id: id.into(),
+        service: "gallery".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: domain.into(),
+        slots: 3,
+        leaving: false,
+        cold_left: Millis(0),
+        sequence: 1,
+    }
+}
+
+pub fn upstream(id: &str, region: &str, clock: &Clock) -> Rc<Upstream> {
+    let reg = registration(id, region);
+    Rc::new(Upstream::new(
+        &reg,
+        region.into(),
+        PoolConfig::default(),
+        clock,
+    ))
+}
+
+/// Writes a registration as `service domain state cold_ms sequence`.
+pub fn entry(state: &str, cold_ms: u64, sequence: u64) -> Bytes {
+    format!("gallery north-1 {state} {cold_ms} {sequence}").into()
+}
+
+pub fn put(key: &str, value: impl Into<Bytes>, revision: u64) -> Change {
+    Change {
+        key: key.to_owned(),
+        known: Known {
+            revision: StoreRevision(revision),
+            value: Some(value.into()),
+        },
+    }
+}
+
+pub fn delete(key: &str, revision: u64) -> Change {
+    Change {
+        key: key.to_owned(),
+        known: Known {
+            revision: StoreRevision(revision),
+            value: None,
+        },
+    }
+}
+
+pub fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        targets: vec![Target {
+            service: service.into(),
+            weight: 1,
+        }],
+        idempotent: true,
+        attempts: 2,
+        timeout: Millis(1_500),
+        latency_target: Millis(600),
+        priority: 1,
+        home_regions: Vec::new(),
+        sticky: true,
+    }
+}
+
+pub fn spec(name: &str) -> ServiceSpec {
+    ServiceSpec {
+        name: name.into(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        cold_time: Millis(3_000),
+        cold_rate: 2.0,
+    }
+}
+
+/// A catalog whose value is its version and the service of its one route.
+fn read_catalog(_: &str, value: &Bytes) -> Result<Catalog, String> {
+    let text = String::from_utf8_lossy(value);
+    let (version, service) = text.split_once(' ').ok_or("no service")?;
+    let version = version.parse().map_err(|_| "no version")?;
+    let routes = vec![route("shots.example", "/", service)];
+    Ok(Catalog::new(version, routes, vec![spec(service)]))
+}
+
+fn read_registration(key: &str, value: &Bytes) -> Result<Registration, String> {
+    let text = String::from_utf8_lossy(value).into_owned();
+    let words: Vec<&str> = text.split(' ').collect();
+    let [service, domain, state, cold, sequence] = words[..] else {
+        return Err("not five words".to_owned());
+    };
+    let mut reg = registration(key.trim_start_matches("server/"), domain);
+    reg.service = service.into();
+    reg.leaving = state == "leaving";
+    reg.cold_left = Millis(cold.parse().map_err(|_| "no time")?);
+    reg.sequence = sequence.parse().map_err(|_| "no sequence")?;
+    Ok(reg)
+}
+
+pub fn dialect() -> Dialect {
+    let name = HeaderName::from_static;
+    Dialect {
+        headers: HeaderNames {
+            request_id: name("id"),
+            time_left: name("left"),
+            expected_server: name("expected"),
+            server_id: name("server"),
+            signature: name("signature"),
+            not_run: name("not-run"),
+            server_load: name("load"),
+            cold_left: name("cold"),
+        },
+        keys: KeyNames {
+            catalog: "catalog",
+            servers: "server/",
+            evacuations: "evacuated/",
+        },
+        catalog: Rc::new(read_catalog),
+        registration: Rc::new(read_registration),
+        object: Rc::new(|_| None::<Arc<str>>),
+        asks_ready: Rc::new(|_| true),
+        lookup: Rc::new(|_| {
+            Ok(LookupQuery {
+                host: String::new(),
+                region: None,
+                domain: None,
+            })
+        }),
+        lookup_answer: Rc::new(|_: &LookupAnswer| Response::text(StatusCode::OK, "")),
+    }
+}
+
+pub fn world(clock: &Clock) -> World {
+    let regions = BTreeMap::from([("north-1".into(), "north".into())]);
+    World::new(dialect(), regions, PoolConfig::default(), clock.clone())
+}
--- /dev/null
+++ b/crates/edge/tests/world.rs
@@ -0,0 +1,105 @@
+//! What follows from the store's keys: routes, backend servers, evacuations.
+
+mod support;
+
+use support::{TestClock, delete, entry, put, world};
+
+fn version(world: &heatherknot_edge::world::World) -> Option<u64> {
+    world.catalog().map(|catalog| catalog.version)
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_leaves_the_last_one_in_force() {
+    let clock = TestClock::default().clock();
+    let mut world = world(&clock);
+    world.take(&[put("catalog", "3 gallery", 5)], true);
+    world.take(&[put("catalog", "nonsense", 6)], true);
+    world.take(&[delete("catalog", 7)], true);
+    assert_eq!(version(&world), Some(3));
+}
+
+/// Story: a peer that was cut off tells of an older configuration after a newer one is in
+/// force. A request would be served by a service that it was moved away from.
+#[test]
+fn no_configuration_goes_back() {
+    let clock = TestClock::default().clock();
+    let mut world = world(&clock);
+    world.take(&[put("catalog", "3 gallery", 5)], true);
+    world.take(&[put("catalog", "2 gallery", 9)], true);
+    assert_eq!(version(&world), Some(3));
+    world.take(&[put("catalog", "4 gallery", 10)], true);
+    world.take(&[put("catalog", "9 gallery", 5)], true);
+    assert_eq!(version(&world), Some(4));
+}
+
+/// Story: entries lapse while the store is away, and their servers live on. Were they dropped
+/// at once, every request would be refused although nothing is wrong with the servers.
+#[test]
+fn entries_missing_after_an_outage_are_kept_until_it_has_settled() {
+    let clock = TestClock::default().clock();
+    let mut world = world(&clock);
+    let service = "gallery".into();
+    world.take(&[put("server/a", entry("ready", 0, 1), 1)], true);
+    world.take(&[put("server/b", entry("ready", 0, 1), 2)], true);
+    world.take(&[delete("server/a", 3), delete("server/b", 4)], false);
+    assert_eq!(world.upstreams(&service).len(), 2);
+    world.take(&[put("server/a", entry("ready", 0, 2), 5)], false);
+    world.settle();
+    let left = world.upstreams(&service);
+    assert_eq!(left.len(), 1);
+    assert_eq!(left[0].id.as_str(), "a");
+}
+
+/// Story: a domain is taken back after an evacuation and its servers have turned cold
+/// unnoticed. The full load at once would crash them.
+#[test]
+fn servers_count_as_cold_after_an_evacuation_until_they_say_otherwise() {
+    let test = TestClock::default();
+    let clock = test.clock();
+    let mut world = world(&clock);
+    let service = "gallery".into();
+    world.take(&[put("catalog", "1 gallery", 1)], true);
+    world.take(&[put("server/a", entry("ready", 0, 1), 2)], true);
+    world.take(&[put("evacuated/north-1", "{}", 3)], true);
+    assert!(world.is_evacuated(&"north-1".into()));
+    world.take(&[delete("evacuated/north-1", 4)], true);
+
+    let a = world.upstreams(&service)[0].clone();
+    assert!(!world.is_evacuated(&"north-1".into()));
+    assert!(a.is_cold(clock.now()));
+    let told = put("server/a", entry("ready", 0, 2), 5);
+    assert!(world.matters(&told), "other VMs wait for it too");
+    world.take(&[told], true);
+    assert!(!a.is_cold(clock.now()));
+}
+
+#[test]
+fn a_leaving_server_takes_no_requests_and_a_cold_one_is_known_as_such() {
+    let test = TestClock::default();
+    let clock = test.clock();
+    let mut world = world(&clock);
+    world.take(&[put("server/a", entry("ready", 2_000, 1), 1)], true);
+    let a = world.upstreams(&"gallery".into())[0].clone();
+    assert!(a.is_cold(clock.now()));
+    test.advance(2_000);
+    assert!(!a.is_cold(clock.now()));
+    world.take(&[put("server/a", entry("leaving", 0, 2), 2)], true);
+    assert!(!a.takes_requests());
+}
+
+#[test]
+fn routes_are_chosen_by_host_and_longest_prefix() {
+    use heatherknot_edge::catalog::Catalog;
+    let routes = vec![
+        support::route("a.example", "/", "all"),
+        support::route("a.example", "/shots/", "shots"),
+    ];
+    let catalog = Catalog::new(1, routes, Vec::new());
+    let service = |host: &str, path: &str| {
+        let route = catalog.route(host, path);
+        route.map(|route| route.targets[0].service.to_string())
+    };
+    assert_eq!(service("a.example", "/shots/1").as_deref(), Some("shots"));
+    assert_eq!(service("a.example:80", "/shotsx").as_deref(), Some("all"));
+    assert_eq!(service("b.example", "/shots/1"), None);
+}
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -32,22 +32,29 @@
 
 /// A call to make.
 pub struct Call {
+    /// What it is for, named in errors; reads are sent again on a new connection.
     pub step: Step,
+    /// The method.
     pub method: Method,
     /// The path, with the query where there is one.
     pub path: Cow<'static, str>,
+    /// The body, as JSON.
     pub body: Bytes,
+    /// The longest time of the call, connecting included.
     pub limit: Duration,
 }
 
 /// A whole answer.
 pub struct Answer {
+    /// The status.
     pub status: StatusCode,
+    /// The whole body.
     pub body: Bytes,
 }
 
 /// An answer whose body arrives bit by bit.
 pub struct Streaming {
+    /// The status.
     pub status: StatusCode,
     body: Body,
     limit: Duration,
@@ -148,6 +155,7 @@
         self.clock.now() + Millis(call.limit.as_millis() as u64)
     }
 
+    /// Makes the error of a call that failed.
     pub fn error(&self, step: Step, effect: Effect, source: Cause) -> StoreError {
         StoreError {
             step,
