Serve small answers anywhere where the way is short, large ones near

Cause: objects belong to the callers of one region; callers that move to another region found them cold there, and regions with few servers were overloaded while others were idle. Large answers crossed domains where each domain could have kept its own copy.

Change: the time to other regions is measured by calls between VMs; routes whose target is four times that or more share one copy in the whole system, others one a region; large answers stay in the domain where objects are asked for often there.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -95,6 +95,13 @@
         upstream.note_refusal(cx.now());
         return Attempt::Unknown("the response is not the server's own");
     }
+    if let Some(bytes) = response
+        .body
+        .known_len()
+        .filter(|_| response.status.is_success())
+    {
+        cx.route(&call.route.name).note_answer(bytes);
+    }
     let held = match hold(call, cx, response).await {
         Ok(response) => response,
         Err(cause) => {
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -117,6 +117,7 @@
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
     let patience = stated.map_or(DEFAULT_TIME, Millis).min(route.timeout);
     let object = object_of(cx, &req.head);
+    cx.route(&route.name).note_request(object, started);
     let body = HeldBody::hold(req.body).await.map_err(Unroutable::Body)?;
     Ok(Call {
         route,
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The routes and services in force, and which route a request takes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use heatherknot_types::prelude::*;
@@ -13,6 +13,7 @@
     /// Routes by host, those with the longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
+    names: HashSet<Arc<str>>,
 }
 
 /// Which requests go where, and how they are treated.
@@ -38,6 +39,8 @@
     pub priority: u32,
     /// The only regions that may run the requests; empty for any.
     pub home_regions: Vec<RegionName>,
+    /// Whether its answers are known to be large.
+    pub large_answers: bool,
     /// Whether a backend server that lately handled an object is faster at it.
     pub sticky: bool,
 }
@@ -69,6 +72,7 @@
 impl Catalog {
     /// Makes a catalog from its parts.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<ServiceSpec>) -> Self {
+        let names = routes.iter().map(|route| Arc::clone(&route.name)).collect();
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = Arc::clone(&route.host);
@@ -82,6 +86,7 @@
             version,
             routes: by_host,
             services,
+            names,
         }
     }
 
@@ -101,6 +106,16 @@
         self.services.values()
     }
 
+    /// Gives every route.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Says whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
     /// Gives the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -25,6 +25,19 @@
 /// takes a slot from other requests, beside the time that it takes itself.
 const COLD_COST: f64 = 2.0;
 
+/// Where an object is served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// In the VM's own failure domain.
+    Domain,
+    /// In the VM's own region.
+    Region,
+    /// In other regions.
+    Away,
+    /// Anywhere.
+    Everywhere,
+}
+
 /// What a choice is made for.
 pub struct Wish<'a> {
     /// The object, or any number where the route has none.
@@ -33,6 +46,8 @@
     pub sticky: bool,
     /// The VM's own region.
     pub region: &'a RegionName,
+    /// The VM's own failure domain.
+    pub domain: &'a DomainName,
     /// The time within which an answer is worth most.
     pub target: Millis,
     /// The time that is left for the request.
@@ -60,7 +75,7 @@
 
 /// Chooses among `candidates`; gives nothing where there are none.
 ///
-/// An object is served in its VM's region, or elsewhere where `is_away` says so. There the
+/// An object is served at its `place`. There the
 /// first server of its rank gets it. Another one gets a copy only where it is free and the
 /// first one is so busy that even the work without a copy is done sooner there. With more
 /// copies, an overload spreads every object over every server, none of which then keeps any,
@@ -69,10 +84,15 @@
     wish: &Wish<'_>,
     candidates: &[Rc<Upstream>],
     pace: &Pace,
-    is_away: bool,
+    place: Place,
 ) -> Option<Prospect> {
     let ranked = ranked(wish, candidates);
-    let is_meant = |u: &Upstream| (u.region != *wish.region) == is_away;
+    let is_meant = |u: &Upstream| match place {
+        Place::Domain => u.domain == *wish.domain,
+        Place::Region => u.region == *wish.region,
+        Place::Away => u.region != *wish.region,
+        Place::Everywhere => true,
+    };
     let (meant, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|u| is_meant(u));
     let here = choose_ranked(wish, &meant, pace);
     if here
@@ -82,10 +102,16 @@
         return here;
     }
     // Only what would otherwise be refused leaves the regions that it is meant for.
-    let there = choose_ranked(wish, &others, pace).filter(|p| p.free);
+    let there = choose_ranked(wish, &near_first(wish, others), pace).filter(|p| p.free);
     there.or(here)
 }
 
+/// Puts the servers of the own region first, each part in its order.
+fn near_first(wish: &Wish<'_>, mut ranked: Vec<Rc<Upstream>>) -> Vec<Rc<Upstream>> {
+    ranked.sort_by_key(|u| u.region != *wish.region);
+    ranked
+}
+
 fn choose_ranked(wish: &Wish<'_>, ranked: &[Rc<Upstream>], pace: &Pace) -> Option<Prospect> {
     let mut prospects = ranked.iter().enumerate();
     let (_, first) = prospects.next()?;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -13,9 +13,11 @@
 
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
+use crate::distance::Distances;
 use crate::feed::Feed;
 use crate::metrics::EdgeMetrics;
 use crate::pace::Pace;
+use crate::reach::RouteReach;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
 use crate::split::Split;
@@ -54,6 +56,10 @@
     pub services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     /// How requests of routes with several targets were shared, by route.
     pub splits: RefCell<HashMap<Arc<str>, Split>>,
+    /// What is learned of each route, by its name.
+    pub routes: RefCell<HashMap<Arc<str>, Rc<RouteReach>>>,
+    /// How far other regions are.
+    pub distances: Distances,
     /// Metrics.
     pub metrics: EdgeMetrics,
     /// Where metrics are read.
@@ -96,6 +102,12 @@
         Rc::clone(state)
     }
 
+    /// Gives what is learned of a route.
+    pub fn route(&self, name: &Arc<str>) -> Rc<RouteReach> {
+        let mut routes = self.routes.borrow_mut();
+        Rc::clone(routes.entry(Arc::clone(name)).or_default())
+    }
+
     /// Gives the number of VMs that may be sending, which may be more than are in touch.
     pub fn vms_that_may_send(&self) -> usize {
         let seen = self.most_vms.get().max(1);
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -19,11 +19,12 @@
 
 use crate::context::EdgeContext;
 use crate::dialect::Dialect;
+use crate::distance::Distances;
 use crate::feed::Feed;
 use crate::metrics::EdgeMetrics;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::world::World;
-use crate::{forward, lookup, peer_feed, presence, reply, spill_step, stop};
+use crate::{distance, forward, lookup, peer_feed, presence, reply, spill_step, stop};
 
 /// How often idle connections are looked through, and missing backend servers.
 const TICK: Millis = Millis(250);
@@ -172,6 +173,8 @@
         most_vms: Cell::new(1),
         services: RefCell::default(),
         splits: RefCell::default(),
+        routes: RefCell::default(),
+        distances: Distances::default(),
         metrics,
         registry,
         leaving: Flag::new(),
@@ -200,6 +203,7 @@
     };
     let mut methods = MethodTable::default();
     peer_feed::register(&mut methods, feed, timer);
+    distance::register(&mut methods);
     let membership_cx = MembershipContext {
         seeds: cfg.seeds.clone(),
         platform: Some(presence::vm_list(feed)),
@@ -274,6 +278,7 @@
     monoio::spawn(Rc::clone(&cx.feed).follow());
     monoio::spawn(presence::run(Rc::clone(cx)));
     monoio::spawn(peer_feed::run(Rc::clone(cx)));
+    monoio::spawn(distance::run(Rc::clone(cx)));
     monoio::spawn(tick(Rc::clone(cx)));
     cx.membership.run(cx.net.clone());
 }
--- /dev/null
+++ b/crates/edge/src/distance.rs
@@ -0,0 +1,87 @@
+//! How far other regions are, measured by calls to VMs there.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use heatherknot_peer::MethodTable;
+use heatherknot_peer::options::CallOptions;
+use heatherknot_types::prelude::*;
+use log::{debug, info};
+
+use crate::context::EdgeContext;
+use crate::presence;
+
+/// The method that answers at once.
+const PING: &str = "e.ping";
+/// The pause between two measurements before one has succeeded, and after.
+const FIRST_PAUSE: Millis = Millis(500);
+const PAUSE: Millis = Millis(10_000);
+/// The time allowed for an answer.
+const LIMIT: Millis = Millis(1_500);
+
+/// The shortest round trips seen to other regions.
+#[derive(Debug, Default)]
+pub struct Distances {
+    shortest: RefCell<BTreeMap<RegionName, Millis>>,
+    measured: Cell<bool>,
+}
+
+impl Distances {
+    /// Gives the longest of the shortest round trips, where one is known.
+    pub fn round_trip(&self) -> Option<Millis> {
+        self.shortest.borrow().values().max().copied()
+    }
+
+    /// Takes in a round trip to a region. Only the shortest counts: others waited somewhere.
+    pub fn note(&self, region: &RegionName, took: Millis) {
+        let mut shortest = self.shortest.borrow_mut();
+        let known = shortest.entry(region.clone()).or_insert(took);
+        *known = took.min(*known);
+        self.measured.set(true);
+    }
+}
+
+/// Registers the method that answers at once.
+pub fn register(methods: &mut MethodTable) {
+    methods.register(PING, |_, (): ()| async { Ok(()) });
+}
+
+/// Measures the ways to other regions for as long as the process runs.
+pub async fn run(cx: Rc<EdgeContext>) {
+    loop {
+        let pause = if cx.distances.measured.get() {
+            PAUSE
+        } else {
+            FIRST_PAUSE
+        };
+        cx.timer.wait(pause).await;
+        for (region, vm) in one_of_each(&cx) {
+            measure(&cx, &region, &vm).await;
+        }
+    }
+}
+
+fn one_of_each(cx: &EdgeContext) -> BTreeMap<RegionName, VmName> {
+    let mut vms = presence::alive(cx);
+    cx.rng.borrow_mut().shuffle(&mut vms);
+    let elsewhere = vms.into_iter().filter(|vm| vm.region != cx.region);
+    elsewhere.map(|vm| (vm.region, vm.name)).collect()
+}
+
+async fn measure(cx: &EdgeContext, region: &RegionName, vm: &VmName) {
+    // The first call may open the connection, so the second one is measured.
+    for is_measured in [false, true] {
+        let began = cx.now();
+        let opts = CallOptions::quick(LIMIT);
+        if let Err(error) = cx.net.call_with::<_, ()>(vm, PING, &(), opts).await {
+            debug!(vm:% = vm, error:% = error; "the way to a VM could not be measured");
+            return;
+        }
+        if is_measured {
+            let took = cx.now().since(began);
+            cx.distances.note(region, took);
+            info!(vm:% = vm, region:% = region, round_trip_ms = took.0; "the way to another region was measured");
+        }
+    }
+}
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -6,8 +6,9 @@
 use heatherknot_types::prelude::*;
 
 use crate::call::Call;
-use crate::choose::{Prospect, Wish, choose};
+use crate::choose::{Place, Prospect, Wish, choose};
 use crate::context::EdgeContext;
+use crate::reach::Reach;
 use crate::upstream::Upstream;
 
 /// When a caller may come back where nothing better is known.
@@ -49,12 +50,13 @@
         object: call.object,
         sticky: call.route.sticky,
         region: &cx.region,
+        domain: &cx.cfg.domain,
         target: call.route.latency_target,
         left,
         now,
     };
-    let is_away = call.state.spill.is_away(call.object);
-    let Some(best) = choose(&wish, &candidates, &call.state.pace, is_away) else {
+    let place = place(cx, call);
+    let Some(best) = choose(&wish, &candidates, &call.state.pace, place) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
     };
     let spent = now.since(call.started).0 as f64;
@@ -73,6 +75,15 @@
     Ok(best)
 }
 
+fn place(cx: &EdgeContext, call: &Call) -> Place {
+    match cx.route(&call.route.name).of(call.object) {
+        Reach::Domain => Place::Domain,
+        Reach::Region if call.state.spill.is_away(call.object) => Place::Away,
+        Reach::Region => Place::Region,
+        Reach::Everywhere => Place::Everywhere,
+    }
+}
+
 fn refuse(cause: &'static str, come_back: Millis) -> Refusal {
     Refusal { cause, come_back }
 }
--- a/crates/edge/src/spill_step.rs
+++ b/crates/edge/src/spill_step.rs
@@ -1,14 +1,16 @@
-//! Moves the thresholds of all services by what servers there are.
+//! Moves the thresholds of all services and routes by what servers and VMs there are.
 
 use std::collections::BTreeSet;
 
 use heatherknot_types::prelude::*;
 
 use crate::context::EdgeContext;
+use crate::presence;
+use crate::reach::Distance;
 use crate::spill::Room;
 use crate::upstream::Upstream;
 
-/// Moves the threshold of each service once.
+/// Moves each threshold once.
 pub(crate) fn run(cx: &EdgeContext) {
     let now = cx.now();
     let catalog = cx.world.borrow().catalog().cloned();
@@ -19,6 +21,19 @@
         let state = cx.service(&spec.name);
         state.spill.step(room(cx, &spec.name, now), now);
     }
+    let here = presence::alive(cx);
+    let vms_here = here.iter().filter(|vm| vm.domain == cx.cfg.domain).count();
+    for route in catalog.routes() {
+        let distance = Distance {
+            round_trip: cx.distances.round_trip(),
+            target: route.latency_target,
+            large_answers: route.large_answers,
+            vms_here,
+        };
+        cx.route(&route.name).step(distance, now);
+    }
+    let mut routes = cx.routes.borrow_mut();
+    routes.retain(|name, _| catalog.has_route(name));
 }
 
 fn room(cx: &EdgeContext, service: &ServiceName, now: Millis) -> Room {
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -6,7 +6,7 @@
 
 use heatherknot_edge::budget::RetryBudget;
 use heatherknot_edge::catalog::Target;
-use heatherknot_edge::choose::{Wish, choose};
+use heatherknot_edge::choose::{Place, Wish, choose};
 use heatherknot_edge::pace::Pace;
 use heatherknot_edge::settings::Bounds;
 use heatherknot_edge::spill::{Room, Spill};
@@ -16,11 +16,14 @@
 use heatherknot_types::prelude::*;
 use support::{TestClock, upstream};
 
+static DOMAIN: std::sync::OnceLock<DomainName> = std::sync::OnceLock::new();
+
 fn wish(object: u64, region: &RegionName, now: Millis) -> Wish<'_> {
     Wish {
         object,
         sticky: true,
         region,
+        domain: DOMAIN.get_or_init(|| "north-1".into()),
         target: Millis(600),
         left: Millis(1_500),
         now,
@@ -42,8 +45,10 @@
     let region = "north".into();
     for object in 0..100 {
         let wish = wish(object, &region, clock.now());
-        let first = choose(&wish, &one, &Pace::default(), false).expect("there are servers");
-        let second = choose(&wish, &other, &Pace::default(), false).expect("there are servers");
+        let first =
+            choose(&wish, &one, &Pace::default(), Place::Region).expect("there are servers");
+        let second =
+            choose(&wish, &other, &Pace::default(), Place::Region).expect("there are servers");
         assert_eq!(first.upstream.id, second.upstream.id);
         assert_eq!(first.upstream.region, region);
     }
@@ -56,15 +61,16 @@
     let region = "north".into();
     let pace = Pace::default();
     let wish = wish(1, &region, clock.now());
-    let home = choose(&wish, &servers, &pace, false)
+    let home = choose(&wish, &servers, &pace, Place::Region)
         .expect("there are servers")
         .upstream;
     let _three: Vec<_> = (0..3).map(|_| home.begin()).collect();
-    let with_one_waiting = choose(&wish, &servers, &pace, false).expect("there are servers");
+    let with_one_waiting =
+        choose(&wish, &servers, &pace, Place::Region).expect("there are servers");
     assert_eq!(with_one_waiting.upstream.id, home.id);
     assert!(!with_one_waiting.free);
     let _many: Vec<_> = (0..12).map(|_| home.begin()).collect();
-    let with_many = choose(&wish, &servers, &pace, false).expect("there are servers");
+    let with_many = choose(&wish, &servers, &pace, Place::Region).expect("there are servers");
     assert_ne!(with_many.upstream.id, home.id);
     assert_eq!(
         with_many.upstream.region, region,
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -106,6 +106,7 @@
         latency_target: Millis(600),
         priority: 1,
         home_regions: Vec::new(),
+        large_answers: false,
         sticky: true,
     }
 }
