Tell work from waiting: the usual time is a low quantile

Cause: under load most answers have waited in a server's queue, and averages took that for work: 0.9 s instead of 0.26. Ruled out: load of other VMs mistaken (half of the answers believed free had waited, but the choice held with right times).

Change: the time with a kept object is the lower quartile of such answers.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peer_feed;
 mod pick;
 pub mod presence;
+pub mod quantile;
 pub mod reach;
 pub mod registration;
 mod reply;
--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -6,9 +6,14 @@
 use heatherknot_types::prelude::*;
 
 use crate::ewma::{Ewma, fade};
+use crate::quantile::Quantile;
 
-/// The weight of one answer.
-const SAMPLE_PART: f64 = 0.1;
+/// The quantile of the times with a kept object that counts as usual. Under load most answers
+/// have waited in their server's queue; what is wanted is the time of the work alone, or each
+/// wait would be counted twice and everything be refused for being late.
+const WARM_PART: f64 = 0.25;
+/// The same for the work without a kept object.
+const COLD_PART: f64 = 0.5;
 /// The weight of one answer in the usual load by other VMs.
 const OTHERS_PART: f64 = 0.1;
 /// The time without an answer after which that load counts for half.
@@ -27,14 +32,23 @@
     others_at: Cell<Millis>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Times {
-    warm: Ewma,
-    cold: Ewma,
+    warm: Quantile,
+    cold: Quantile,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            warm: Quantile::new(WARM_PART),
+            cold: Quantile::new(COLD_PART),
+        }
+    }
 }
 
 impl Times {
-    fn of(&self, warm: bool) -> &Ewma {
+    fn of(&self, warm: bool) -> &Quantile {
         if warm { &self.warm } else { &self.cold }
     }
 }
@@ -47,14 +61,12 @@
     /// for others, so a time that is far off the usual one counts for the other kind.
     pub fn note(&self, region: &RegionName, kept: bool, took: Millis) {
         let took = took.0 as f64;
-        let warm = match self.overall.warm.get() {
-            Some(usual) => took < usual * COLD_FROM,
-            None => kept,
-        };
-        self.overall.of(warm).add(took, SAMPLE_PART);
+        let usual = self.overall.warm.get();
+        let warm = kept || usual.is_none_or(|usual| took < usual * COLD_FROM);
+        self.overall.of(warm).add(took);
         let mut by_region = self.by_region.borrow_mut();
         let times = by_region.entry(region.clone()).or_default();
-        times.of(warm).add(took, SAMPLE_PART);
+        times.of(warm).add(took);
     }
 
     /// Takes in how many requests of other VMs a server has.
