--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -23,7 +23,7 @@
 const UNKNOWN_COLD: f64 = 1.2;
 /// How many times the extra work for an object that a server does not keep counts. The work
 /// takes a slot from other requests, beside the time that it takes itself.
-const COLD_COST: f64 = 2.0;
+const COLD_COST: f64 = 3.0;
 
 /// Where an object is served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
