--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod context;
 pub mod directory_task;
+pub mod log_writer;
 pub mod logging;
 pub mod lookup;
 pub mod metrics;
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -198,7 +198,7 @@
 fn failed(cx: &EdgeContext, call: &Call, prospect: &Prospect, error: &SendError) -> Attempt {
     let upstream = &prospect.upstream;
     let now = cx.now();
-    log::info!(id = call.id(cx), upstream:% = upstream.id, error:% = error; "a send failed");
+    log::debug!(id = call.id(cx), upstream:% = upstream.id, error:% = error; "a send failed");
     if matches!(error, SendError::RequestBody { .. }) {
         return match error.handed() {
             Handed::NotSent => Attempt::NotSent("the caller's body broke off"),
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -69,6 +69,8 @@
     pub work: f64,
     /// The expected time to its answer, in milliseconds.
     pub finish: f64,
+    /// The requests that it is expected to have, of this VM and of others.
+    pub load: f64,
     /// What taking it costs, in milliseconds: the time, and what others lose.
     pub cost: f64,
 }
@@ -145,7 +147,8 @@
         false => pace.expected(&upstream.region, false, target * UNKNOWN_COLD),
     };
     let slots = f64::from(upstream.slots.get());
-    let ahead = upstream.load(pace.usual_others(wish.now), wish.now) + 1.0 - slots;
+    let load = upstream.load(pace.usual_others(wish.now), wish.now);
+    let ahead = load + 1.0 - slots;
     let wait = ahead.max(0.0) / slots * often * upstream.slowness(wish.now);
     let work = usual * upstream.slowness(wish.now);
     let extra = (usual - often).max(0.0) * (COLD_COST - 1.0);
@@ -154,6 +157,7 @@
         free: ahead <= 0.0,
         work,
         finish: work + wait,
+        load,
         cost: work * (1.0 + FAILING_COST * upstream.failing(wish.now)) + wait + extra,
         upstream: Rc::clone(upstream),
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -4,14 +4,13 @@
 
 use heatherknot_http::{Request, Response};
 use heatherknot_types::prelude::*;
-use http::StatusCode;
-use log::{Level, log};
 
 use crate::attempt::{self, Attempt};
 use crate::call::{self, Call, Unroutable};
 use crate::context::EdgeContext;
 use crate::pick::{self, Refusal};
 use crate::reply;
+use crate::story::{self, Sent};
 
 /// When a caller may come back to a daemon that has no configuration yet.
 const NO_CATALOG_RETURN: Millis = Millis(300);
@@ -23,9 +22,11 @@
 
 /// What has become of a request so far.
 #[derive(Default)]
-struct Tries {
+pub(crate) struct Tries {
     /// Servers that were tried.
-    servers: Vec<UpstreamName>,
+    pub(crate) servers: Vec<UpstreamName>,
+    /// What was known at each send, and what came of it.
+    pub(crate) sent: Vec<Sent>,
     /// Sends that reached a server.
     arrived: u32,
     /// Sends that a server may have run.
@@ -34,7 +35,7 @@
     unreached: u32,
     /// The last server's own answer that it failed.
     failure: Option<Response>,
-    cause: &'static str,
+    pub(crate) cause: &'static str,
 }
 
 /// Answers a request.
@@ -43,7 +44,7 @@
         Ok(mut call) => {
             let mut tries = Tries::default();
             let response = serve(&cx, &mut call, &mut tries).await;
-            note_end(&cx, &call, &tries, &response);
+            story::tell(&cx, &call, &tries, &response);
             response
         }
         Err(Unroutable::NoCatalog) => reply::not_run("no configuration yet", NO_CATALOG_RETURN),
@@ -63,7 +64,9 @@
             return give_up(cx, call, tries, &Refusal::out_of_tries());
         }
         tries.servers.push(prospect.upstream.id.clone());
+        let at = cx.now();
         let attempt = attempt::send(cx, call, &prospect).await;
+        tries.sent.push(Sent::new(cx, call, &prospect, at, &attempt));
         let labels = [call.service.as_str(), attempt.label()];
         cx.metrics.sends.with_label_values(&labels).inc();
         match attempt {
@@ -132,26 +135,3 @@
         .inc();
     reply::not_run(cause, refusal.come_back)
 }
-
-fn note_end(cx: &EdgeContext, call: &Call, tries: &Tries, response: &Response) {
-    let outcome = match response.status {
-        status if status.is_success() => "answered",
-        StatusCode::SERVICE_UNAVAILABLE => "not-run",
-        _ => "failed",
-    };
-    let took = cx.now().since(call.started);
-    let labels = [call.service.as_str(), outcome];
-    cx.metrics.requests.with_label_values(&labels).inc();
-    cx.metrics
-        .latency
-        .with_label_values(&labels)
-        .observe(took.as_secs_f64());
-    let level = if outcome == "answered" {
-        Level::Debug
-    } else {
-        Level::Info
-    };
-    log!(level, id = call.id(cx), route:% = call.route.name, service:% = call.service,
-        config = call.catalog.version, status = response.status.as_u16(), took_ms = took.0,
-        sends = tries.servers.len(), cause = tries.cause; "request ended");
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod spill_step;
 pub mod split;
 mod stop;
+mod story;
 pub mod upstream;
 pub mod window;
 pub mod world;
--- /dev/null
+++ b/crates/edge/src/story.rs
@@ -0,0 +1,103 @@
+//! What the log tells of a request: a line for each send, with what decided it, and one for
+//! its end.
+//!
+//! Lines are written at the end of a request, when it is known whether it went well. Those of
+//! requests that failed, were refused or came late are always written. Of the others every VM
+//! tells the same small part, drawn by the request's identifier, so that all lines of a
+//! request are there or none.
+
+use heatherknot_http::Response;
+use heatherknot_types::hash;
+use heatherknot_types::prelude::*;
+use http::StatusCode;
+use log::info;
+
+use crate::attempt::Attempt;
+use crate::call::Call;
+use crate::choose::Prospect;
+use crate::context::EdgeContext;
+use crate::forward::Tries;
+
+/// Of the requests that went well, one in this many is told of.
+const SAMPLED: u64 = 64;
+
+/// One send of a request.
+pub(crate) struct Sent {
+    at: Millis,
+    took: Millis,
+    upstream: UpstreamName,
+    region: RegionName,
+    result: &'static str,
+    cause: &'static str,
+    warm: bool,
+    free: bool,
+    expected: u64,
+    load: f64,
+    load_age: Millis,
+    own: u32,
+}
+
+impl Sent {
+    /// Notes a send that began at `at`.
+    pub(crate) fn new(
+        cx: &EdgeContext,
+        call: &Call,
+        prospect: &Prospect,
+        at: Millis,
+        attempt: &Attempt,
+    ) -> Self {
+        let upstream = &prospect.upstream;
+        let cause = match attempt {
+            Attempt::NotRun(cause) | Attempt::NotSent(cause) | Attempt::Unknown(cause) => cause,
+            Attempt::Answer(_) | Attempt::Failure(_) | Attempt::Late | Attempt::CallerGone => "",
+        };
+        Self {
+            at: at.since(call.started),
+            took: cx.now().since(at),
+            upstream: upstream.id.clone(),
+            region: upstream.region.clone(),
+            result: attempt.label(),
+            cause,
+            warm: prospect.warm,
+            free: prospect.free,
+            expected: prospect.finish as u64,
+            load: prospect.load,
+            load_age: upstream.load_age(at),
+            own: upstream.in_flight(),
+        }
+    }
+}
+
+/// Counts the end of a request, and tells its story where it is one to be told.
+pub(crate) fn tell(cx: &EdgeContext, call: &Call, tries: &Tries, response: &Response) {
+    let outcome = match response.status {
+        status if status.is_success() => "answered",
+        StatusCode::SERVICE_UNAVAILABLE => "not-run",
+        _ => "failed",
+    };
+    let took = cx.now().since(call.started);
+    let labels = [call.service.as_str(), outcome];
+    cx.metrics.requests.with_label_values(&labels).inc();
+    let latency = cx.metrics.latency.with_label_values(&labels);
+    latency.observe(took.as_secs_f64());
+    let went_well = outcome == "answered" && took <= call.route.latency_target;
+    let id = call.id(cx);
+    if went_well && !hash::digest(id.as_bytes()).is_multiple_of(SAMPLED) {
+        return;
+    }
+    for (number, sent) in tries.sent.iter().enumerate() {
+        tell_send(id, number + 1, sent);
+    }
+    info!(id, route:% = call.route.name, service:% = call.service, object = call.object,
+        config = call.catalog.version, outcome, status = response.status.as_u16(), took_ms = took.0,
+        target_ms = call.route.latency_target.0, given_ms = call.deadline.since(call.started).0,
+        sends = tries.sent.len(), cause = tries.cause, store_age_ms = cx.feed.age().unwrap_or_default().0;
+        "request ended");
+}
+
+fn tell_send(id: &str, number: usize, sent: &Sent) {
+    info!(id, send = number, at_ms = sent.at.0, took_ms = sent.took.0, upstream:% = sent.upstream,
+        region:% = sent.region, result = sent.result, cause = sent.cause, warm = sent.warm,
+        free = sent.free, expected_ms = sent.expected, load = sent.load,
+        load_age_ms = sent.load_age.0, own = sent.own; "request sent");
+}
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -145,6 +145,11 @@
         f64::from(self.in_flight.get()) + usual + (told - usual) * trust
     }
 
+    /// Gives how old what it told of its load is.
+    pub fn load_age(&self, now: Millis) -> Millis {
+        now.since(self.told_at.get())
+    }
+
     /// Gives this VM's own requests at it.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
