--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -39,6 +39,8 @@
     NewKey,
     /// Replays traces.
     Replay,
+    /// Tells the story of a request from logs.
+    Trace,
 }
 
 /// How a command is written.
@@ -66,6 +68,10 @@
 
 const REPLAY: &[Opt] = &[Opt::Policy, Opt::Compare, Opt::Charts];
 
+const TRACE: &[Opt] = &[Opt::Around];
+
+/// The most logs that one story is told from, and its identifier.
+const MAX_LOGS: usize = 1_025;
 /// The most traces that one run replays.
 const MAX_TRACES: usize = 256;
 
@@ -89,7 +95,7 @@
 }
 
 /// Every command, in the order of the help.
-pub static COMMANDS: [CommandSpec; 17] = [
+pub static COMMANDS: [CommandSpec; 18] = [
     spec(
         Command::Get,
         "get",
@@ -226,6 +232,14 @@
         REPLAY,
         "Replay traces and compare what comes out with the outcomes that they state.",
     ),
+    spec(
+        Command::Trace,
+        "trace",
+        "ID LOG...",
+        (2, MAX_LOGS),
+        TRACE,
+        "Tell the story of a request from the logs of VMs.",
+    ),
 ];
 
 impl Command {
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -5,6 +5,7 @@
 mod read;
 mod replay;
 mod report;
+mod trace;
 mod wait;
 
 use heatherknot_types::prelude::*;
@@ -28,6 +29,7 @@
     match invocation.command {
         Command::NewKey => return key::new(invocation),
         Command::Replay => return replay::replay(invocation),
+        Command::Trace => return trace::trace(invocation),
         _ => {}
     }
     let servers = invocation.options.servers(env.servers.as_deref())?;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -45,6 +45,8 @@
     Compare,
     /// The directory for charts.
     Charts,
+    /// `--around`.
+    Around,
 }
 
 /// How an option is written.
@@ -74,7 +76,7 @@
 }
 
 /// Every option.
-pub static OPTIONS: [OptSpec; 18] = [
+pub static OPTIONS: [OptSpec; 19] = [
     spec(
         Opt::Server,
         "server",
@@ -178,6 +180,12 @@
         Some("DIRECTORY"),
         "Draw a chart for each trace and policy there.",
     ),
+    spec(
+        Opt::Around,
+        "around",
+        None,
+        "Show what the VM believed before the request's end, too.",
+    ),
 ];
 
 /// The options that every command takes.
--- a/crates/daemon/src/log_writer.rs
+++ b/crates/daemon/src/log_writer.rs
@@ -74,7 +74,10 @@
 
     /// Queues a line, or counts it as dropped.
     pub fn queue(&self, line: Vec<u8>) {
-        let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut allowance = self
+            .allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let is_allowed = allowance.take(line.len(), Instant::now());
         drop(allowance);
         let queued = is_allowed.then(|| self.tx.try_send(line));
@@ -103,7 +106,9 @@
     while let Ok(line) = rx.recv() {
         let missing = dropped.swap(0, Ordering::Relaxed);
         if missing > 0 {
-            let note = format!("{{\"level\":\"WARN\",\"kv\":{{\"dropped\":{missing}}},\"text\":\"log lines were dropped\"}}\n");
+            let note = format!(
+                "{{\"level\":\"WARN\",\"kv\":{{\"dropped\":{missing}}},\"text\":\"log lines were dropped\"}}\n"
+            );
             // Nobody reads the output any more: there is nobody to tell either.
             let _ = out.write_all(note.as_bytes());
         }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -66,7 +66,9 @@
         tries.servers.push(prospect.upstream.id.clone());
         let at = cx.now();
         let attempt = attempt::send(cx, call, &prospect).await;
-        tries.sent.push(Sent::new(cx, call, &prospect, at, &attempt));
+        tries
+            .sent
+            .push(Sent::new(cx, call, &prospect, at, &attempt));
         let labels = [call.service.as_str(), attempt.label()];
         cx.metrics.sends.with_label_values(&labels).inc();
         match attempt {
