--- a/crates/daemon/tests/log_writer.rs
+++ b/crates/daemon/tests/log_writer.rs
@@ -5,10 +5,13 @@
 
 use heatherknot_daemon::log_writer::{BURST_BYTES, BoundedWriter};
 
+/// Whether lines may be taken, and those that were.
+type Taken = (Mutex<(bool, Vec<u8>)>, Condvar);
+
 /// A reader that takes nothing until it is told to.
 #[derive(Clone, Default)]
 struct Stalled {
-    taken: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    taken: Arc<Taken>,
 }
 
 impl Stalled {
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -21,6 +21,9 @@
 /// seen; and for one that it does not keep. They only say that the second takes longer.
 const UNKNOWN_WARM: f64 = 0.4;
 const UNKNOWN_COLD: f64 = 1.2;
+/// The next servers of an object's rank that may get a further copy where the first one would
+/// answer too late.
+const NEXT_COPIES: usize = 2;
 /// How many times the extra work for an object that a server does not keep counts. The work
 /// takes a slot from other requests, beside the time that it takes itself.
 const COLD_COST: f64 = 3.0;
@@ -87,6 +90,7 @@
     candidates: &[Rc<Upstream>],
     pace: &Pace,
     place: Place,
+    may_copy: bool,
 ) -> Option<Prospect> {
     let ranked = ranked(wish, candidates);
     let is_meant = |u: &Upstream| match place {
@@ -96,7 +100,7 @@
         Place::Everywhere => true,
     };
     let (meant, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|u| is_meant(u));
-    let here = choose_ranked(wish, &meant, pace);
+    let here = choose_ranked(wish, &meant, pace, may_copy);
     if here
         .as_ref()
         .is_some_and(|p| p.free || p.finish <= wish.target.0 as f64)
@@ -104,7 +108,7 @@
         return here;
     }
     // Only what would otherwise be refused leaves the regions that it is meant for.
-    let there = choose_ranked(wish, &near_first(wish, others), pace).filter(|p| p.free);
+    let there = choose_ranked(wish, &near_first(wish, others), pace, false).filter(|p| p.free);
     there.or(here)
 }
 
@@ -114,15 +118,26 @@
     ranked
 }
 
-fn choose_ranked(wish: &Wish<'_>, ranked: &[Rc<Upstream>], pace: &Pace) -> Option<Prospect> {
-    let mut prospects = ranked.iter().enumerate();
-    let (_, first) = prospects.next()?;
+fn choose_ranked(
+    wish: &Wish<'_>,
+    ranked: &[Rc<Upstream>],
+    pace: &Pace,
+    may_copy: bool,
+) -> Option<Prospect> {
+    let (first, others) = ranked.split_first()?;
     let first = prospect(wish, first, true, pace);
     if first.free {
         return Some(first);
     }
-    let mut others = prospects.map(|(_, u)| prospect(wish, u, false, pace));
-    let spare = others.find(|p| p.free && p.cost < first.cost);
+    let mut others = others.iter().map(|u| prospect(wish, u, false, pace));
+    let is_late = first.finish > wish.target.0 as f64;
+    let next = others.by_ref().take(NEXT_COPIES);
+    let next: Vec<Prospect> = next.filter(|p| p.free).collect();
+    if let Some(copy) = next.first().filter(|_| is_late && may_copy) {
+        return Some(copy.clone());
+    }
+    let mut spares = next.into_iter().chain(others.filter(|p| p.free));
+    let spare = spares.find(|p| p.cost < first.cost);
     Some(spare.unwrap_or(first))
 }
 
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -14,6 +14,12 @@
 /// Reads a value of the store, or tells why it can't be read.
 pub type Decode<T> = Rc<dyn Fn(&str, &Bytes) -> Result<T, String>>;
 
+/// Reads a request's object from its headers, where it has one.
+pub type ReadObject = Rc<dyn Fn(&HeaderMap) -> Option<Arc<str>>>;
+
+/// Reads a look-up, or tells why it is none.
+pub type ReadLookup = Rc<dyn Fn(&Request) -> Result<LookupQuery, String>>;
+
 /// How callers, backend servers and the store of one platform name things.
 #[derive(Clone)]
 pub struct Dialect {
@@ -26,11 +32,11 @@
     /// Reads a registration, from its key and value.
     pub registration: Decode<Registration>,
     /// Reads a request's object, by which sticky routes choose backend servers.
-    pub object: Rc<dyn Fn(&HeaderMap) -> Option<Arc<str>>>,
+    pub object: ReadObject,
     /// Says whether a request asks whether this daemon is ready.
     pub asks_ready: Rc<dyn Fn(&Request) -> bool>,
     /// Reads a look-up.
-    pub lookup: Rc<dyn Fn(&Request) -> Result<LookupQuery, String>>,
+    pub lookup: ReadLookup,
     /// Writes the answer to a look-up.
     pub lookup_answer: Rc<dyn Fn(&LookupAnswer) -> Response>,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod choose;
 pub mod context;
+pub mod copies;
 pub mod daemon;
 pub mod dialect;
 pub mod distance;
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -56,9 +56,18 @@
         now,
     };
     let place = place(cx, call);
-    let Some(best) = choose(&wish, &candidates, &call.state.pace, place) else {
+    let Some(best) = choose(
+        &wish,
+        &candidates,
+        &call.state.pace,
+        place,
+        call.state.copies.may(),
+    ) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
     };
+    if !best.warm {
+        call.state.copies.made();
+    }
     let spent = now.since(call.started).0 as f64;
     let late = best.finish + spent > call.route.latency_target.0 as f64 * LATE_PART;
     // A free server gets the request even if it is expected to end late: what is expected is
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -46,9 +46,9 @@
     for object in 0..100 {
         let wish = wish(object, &region, clock.now());
         let first =
-            choose(&wish, &one, &Pace::default(), Place::Region).expect("there are servers");
-        let second =
-            choose(&wish, &other, &Pace::default(), Place::Region).expect("there are servers");
+            choose(&wish, &one, &Pace::default(), Place::Region, false).expect("there are servers");
+        let second = choose(&wish, &other, &Pace::default(), Place::Region, false)
+            .expect("there are servers");
         assert_eq!(first.upstream.id, second.upstream.id);
         assert_eq!(first.upstream.region, region);
     }
@@ -61,16 +61,17 @@
     let region = "north".into();
     let pace = Pace::default();
     let wish = wish(1, &region, clock.now());
-    let home = choose(&wish, &servers, &pace, Place::Region)
+    let home = choose(&wish, &servers, &pace, Place::Region, false)
         .expect("there are servers")
         .upstream;
     let _three: Vec<_> = (0..3).map(|_| home.begin()).collect();
     let with_one_waiting =
-        choose(&wish, &servers, &pace, Place::Region).expect("there are servers");
+        choose(&wish, &servers, &pace, Place::Region, false).expect("there are servers");
     assert_eq!(with_one_waiting.upstream.id, home.id);
     assert!(!with_one_waiting.free);
     let _many: Vec<_> = (0..12).map(|_| home.begin()).collect();
-    let with_many = choose(&wish, &servers, &pace, Place::Region).expect("there are servers");
+    let with_many =
+        choose(&wish, &servers, &pace, Place::Region, false).expect("there are servers");
     assert_ne!(with_many.upstream.id, home.id);
     assert_eq!(
         with_many.upstream.region, region,
