--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -107,9 +107,11 @@
     {
         return here;
     }
-    // Only what would otherwise be refused leaves the regions that it is meant for.
-    let there = choose_ranked(wish, &near_first(wish, others), pace, false).filter(|p| p.free);
-    there.or(here)
+    // Only what would otherwise be refused leaves the regions that it is meant for. Servers
+    // there keep the object only if it was sent there before.
+    let near_first = near_first(wish, others);
+    let mut there = near_first.iter().map(|u| prospect(wish, u, false, pace));
+    there.find(|p| p.free && (p.warm || may_copy)).or(here)
 }
 
 /// Puts the servers of the own region first, each part in its order.
