Count requests without an answer against slow servers; name late and left requests

Found from the lines of sends by result and server. Ruled out: lost connections (each send ended at its timeout).

Change: a request without an answer after twice the usual time counts as that slow. In the log a request whose caller left, or that got no answer in time, says so.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -17,6 +17,10 @@
 /// short answer that breaks off can then still be had from another server.
 const HELD_ANSWER: u64 = 64 * 1024;
 
+/// How many times as long as usual a request must go unanswered to count against its server.
+/// Callers that leave early say nothing of it.
+const SLOW_FROM: f64 = 2.0;
+
 /// What came of one send.
 pub(crate) enum Attempt {
     /// An answer for the caller.
@@ -57,11 +61,29 @@
     };
     let cancelled = call.cancelled.wait();
     let call = &*call;
+    let sent = cx.now();
     let sending = pin!(exchange(cx, call, body, prospect));
-    match select(sending, cancelled).await {
+    let attempt = match select(sending, cancelled).await {
         Either::Left((attempt, _)) => attempt,
         // Dropping the exchange closes its connection, by which the server stops its work.
         Either::Right(_) => Attempt::CallerGone,
+    };
+    if matches!(attempt, Attempt::Late | Attempt::CallerGone) {
+        learn_unanswered(cx, call, prospect, cx.now().since(sent));
+    }
+    attempt
+}
+
+/// Takes in how long a request got no answer.
+///
+/// A server that has become slow answers nothing in time, so its answers alone would never
+/// tell that it is slow, and it would go on getting its part of the requests.
+fn learn_unanswered(cx: &EdgeContext, call: &Call, prospect: &Prospect, waited: Millis) {
+    let upstream = &prospect.upstream;
+    let kept = upstream.keeps(call.object, cx.now());
+    let slowness = call.state.pace.slowness(&upstream.region, kept, waited);
+    if let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FROM) {
+        upstream.note_unanswered(slowness, cx.now());
     }
 }
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -73,8 +73,14 @@
         cx.metrics.sends.with_label_values(&labels).inc();
         match attempt {
             Attempt::Answer(response) => return response,
-            Attempt::CallerGone => return reply::unknown("the caller has disconnected"),
-            Attempt::Late => return reply::timed_out(),
+            Attempt::CallerGone => {
+                tries.cause = "the caller has disconnected";
+                return reply::unknown(tries.cause);
+            }
+            Attempt::Late => {
+                tries.cause = "no answer came in time";
+                return reply::timed_out();
+            }
             Attempt::NotSent(cause) => {
                 tries.unreached += 1;
                 tries.cause = cause;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -212,6 +212,12 @@
         objects.insert(object, now);
     }
 
+    /// Takes in that a request was without an answer after `slowness` times the usual time.
+    pub fn note_unanswered(&self, slowness: f64, now: Millis) {
+        self.judged_at.set(now);
+        self.slowness.add(slowness.clamp(1.0, 20.0), QUALITY_PART);
+    }
+
     /// Takes in an answer that says that the request failed or was refused.
     pub fn note_refusal(&self, now: Millis) {
         self.judged_at.set(now);
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -230,3 +230,14 @@
     assert!((window.total(Millis(9_000)) - 5.0).abs() < 1e-9);
     assert!(window.total(Millis(11_000)).abs() < 1e-9);
 }
+
+/// Story: a server becomes ten times as slow. None of its requests is answered in time, so
+/// judged by answers alone it would seem as fast as ever and go on getting its part.
+#[test]
+fn a_server_that_answers_nothing_in_time_counts_as_slow() {
+    let clock = TestClock::default().clock();
+    let server = upstream("a", "north", &clock);
+    server.note_answer(1, Some(1.0), clock.now());
+    (0..5).for_each(|_| server.note_unanswered(6.0, clock.now()));
+    assert!(server.slowness(clock.now()) > 3.0);
+}
