Say which server was too late for a refused request; split the send in parts

A refused request's story now names the best server there was, its expected time and load and how old that was.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
-use heatherknot_http::{Body, Handed, Response, SendError, SendOptions};
+use heatherknot_http::{Body, Handed, RequestHead, Response, SendError, SendOptions};
 use heatherknot_types::prelude::*;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::call::Call;
 use crate::choose::Prospect;
 use crate::context::EdgeContext;
-use crate::upstream::ServerLoad;
+use crate::upstream::{InFlight, ServerLoad};
 
 /// The longest response body that is read whole before the caller gets its first byte. A
 /// short answer that breaks off can then still be had from another server.
@@ -90,15 +90,9 @@
 async fn exchange(cx: &EdgeContext, call: &Call, body: Body, prospect: &Prospect) -> Attempt {
     let upstream = &prospect.upstream;
     let sent = cx.now();
-    let mut head = call.head.clone();
-    let names = &cx.dialect.headers;
-    let left = call.left(sent).0;
-    head.headers
-        .insert(&names.time_left, HeaderValue::from(left));
-    match HeaderValue::from_str(upstream.id.as_str()) {
-        Ok(id) => drop(head.headers.insert(&names.expected_server, id)),
-        Err(_) => return Attempt::NotSent("its server's identifier is no header value"),
-    }
+    let Some(head) = head_for(cx, call, prospect, sent) else {
+        return Attempt::NotSent("its server's identifier is no header value");
+    };
     let flight = upstream.begin();
     let options = SendOptions {
         deadline: Some(call.deadline),
@@ -117,33 +111,56 @@
         upstream.note_refusal(cx.now());
         return Attempt::Unknown("the response is not the server's own");
     }
-    if let Some(bytes) = response
-        .body
-        .known_len()
-        .filter(|_| response.status.is_success())
-    {
-        cx.route(&call.route.name).note_answer(bytes);
-    }
-    let held = match hold(call, cx, response).await {
-        Ok(response) => response,
+    match hold(call, cx, response).await {
+        Ok(response) => answered(cx, call, prospect, response, sent, flight),
         Err(cause) => {
             upstream.note_refusal(cx.now());
-            return Attempt::Unknown(cause);
+            Attempt::Unknown(cause)
         }
-    };
-    if !held.status.is_success() {
-        if held.status.is_server_error() {
-            upstream.note_refusal(cx.now());
-            return Attempt::Failure(held);
+    }
+}
+
+/// Makes the head of a request to one server: who may run it, and how long it may take.
+fn head_for(
+    cx: &EdgeContext,
+    call: &Call,
+    prospect: &Prospect,
+    now: Millis,
+) -> Option<RequestHead> {
+    let names = &cx.dialect.headers;
+    let server = HeaderValue::from_str(prospect.upstream.id.as_str()).ok()?;
+    let mut head = call.head.clone();
+    let left = HeaderValue::from(call.left(now).0);
+    head.headers.insert(&names.time_left, left);
+    head.headers.insert(&names.expected_server, server);
+    Some(head)
+}
+
+/// Takes in a server's own answer, whatever its status.
+fn answered(
+    cx: &EdgeContext,
+    call: &Call,
+    prospect: &Prospect,
+    response: Response,
+    sent: Millis,
+    flight: InFlight,
+) -> Attempt {
+    if response.status.is_server_error() {
+        prospect.upstream.note_refusal(cx.now());
+        return Attempt::Failure(response);
+    }
+    if response.status.is_success() {
+        if let Some(bytes) = response.body.known_len() {
+            cx.route(&call.route.name).note_answer(bytes);
         }
-        return Attempt::Answer(held);
+        learn(cx, call, prospect, cx.now().since(sent));
     }
-    learn(cx, call, prospect, cx.now().since(sent));
     let Response {
         status,
         headers,
         body,
-    } = held;
+    } = response;
+    // The request counts as in flight until the caller has all of the answer.
     Attempt::Answer(Response {
         status,
         headers,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -7,6 +7,7 @@
 
 use crate::attempt::{self, Attempt};
 use crate::call::{self, Call, Unroutable};
+use crate::choose::Prospect;
 use crate::context::EdgeContext;
 use crate::pick::{self, Refusal};
 use crate::reply;
@@ -36,6 +37,8 @@
     /// The last server's own answer that it failed.
     failure: Option<Response>,
     pub(crate) cause: &'static str,
+    /// The server that was the best one when the request was refused.
+    pub(crate) refused_by: Option<Prospect>,
 }
 
 /// Answers a request.
@@ -135,6 +138,7 @@
     }
     if tries.arrived + tries.unreached == 0 {
         tries.cause = refusal.cause;
+        tries.refused_by.clone_from(&refusal.best);
     }
     let cause = tries.cause;
     cx.metrics
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -15,14 +15,13 @@
 const USUAL_RETURN: Millis = Millis(500);
 /// The part of the time left after which an answer is not expected to be of use any more.
 const USEFUL_PART: f64 = 0.95;
-/// How far beyond the latency target a request may be expected to end and still wait in a
-/// server's queue.
-const LATE_PART: f64 = 1.0;
 
 /// Why a request is refused, and when it may come back.
 pub(crate) struct Refusal {
     pub(crate) cause: &'static str,
     pub(crate) come_back: Millis,
+    /// The best server that there was, where one was expected to be too late.
+    pub(crate) best: Option<Prospect>,
 }
 
 impl Refusal {
@@ -30,6 +29,7 @@
         Self {
             cause: "no further send is allowed",
             come_back: USUAL_RETURN,
+            best: None,
         }
     }
 }
@@ -68,18 +68,21 @@
     if !best.warm {
         call.state.copies.made();
     }
+    // An answer after the latency target is worth little, and the work on it would make the
+    // next requests late as well: what would wait that long is refused at once.
     let spent = now.since(call.started).0 as f64;
-    let late = best.finish + spent > call.route.latency_target.0 as f64 * LATE_PART;
+    let late = best.finish + spent > call.route.latency_target.0 as f64;
     // A free server gets the request even if it is expected to end late: what is expected is
     // learned from other routes' requests, and a refusal would leave the server idle.
     let useless = best.finish > left.0 as f64 * USEFUL_PART;
     if !best.free && (late || useless) {
         let over = (best.finish - best.work).max(0.0);
         let come_back = Millis(over as u64).min(Millis(left.0 / 3));
-        return Err(refuse(
-            "every backend server is busy for too long",
+        return Err(Refusal {
+            cause: "every backend server is busy for too long",
             come_back,
-        ));
+            best: Some(best),
+        });
     }
     Ok(best)
 }
@@ -94,7 +97,11 @@
 }
 
 fn refuse(cause: &'static str, come_back: Millis) -> Refusal {
-    Refusal { cause, come_back }
+    Refusal {
+        cause,
+        come_back,
+        best: None,
+    }
 }
 
 /// Gives the servers that may get the request now.
--- a/crates/edge/src/story.rs
+++ b/crates/edge/src/story.rs
@@ -88,6 +88,11 @@
     for (number, sent) in tries.sent.iter().enumerate() {
         tell_send(id, number + 1, sent);
     }
+    if let Some(best) = &tries.refused_by {
+        info!(id, upstream:% = best.upstream.id, region:% = best.upstream.region, warm = best.warm,
+            expected_ms = best.finish as u64, load = best.load,
+            load_age_ms = best.upstream.load_age(call.started).0; "best server, too late");
+    }
     info!(id, route:% = call.route.name, service:% = call.service, object = call.object,
         config = call.catalog.version, outcome, status = response.status.as_u16(), took_ms = took.0,
         target_ms = call.route.latency_target.0, given_ms = call.deadline.since(call.started).0,
