--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -9,7 +9,7 @@
 use crate::support::daemon::{Listening, settings};
 use crate::support::proxy::{Passage, Proxy};
 use crate::support::server::{FakeServer, Manner};
-use crate::support::store::{FakeStore, Turned, config};
+use crate::support::store::{FakeStore, Turned};
 use crate::support::{caller, free_address, until};
 
 /// The host of all routes.
@@ -163,7 +163,7 @@
     fn configure(&mut self) {
         self.version += 1;
         let routes = [("/a/", "safe", "gallery"), ("/once/", "unsafe", "gallery")];
-        self.store.put("op/config", &config(self.version, &routes));
+        self.store.configure(self.version, &routes);
     }
 
     fn register(&self, number: usize, state: &str) {
