Serve from other regions where the own one has no server that a route allows

Cause: a route with homes elsewhere, or a service without servers here, had no server at its place, and was served only where copies were allowed. The test fails before the change for the places domain and region.

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -100,6 +100,10 @@
         Place::Everywhere => true,
     };
     let (meant, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|u| is_meant(u));
+    if meant.is_empty() {
+        // A region without servers of the service, or without one that the route allows.
+        return choose_ranked(wish, &near_first(wish, others), pace, may_copy);
+    }
     let here = choose_ranked(wish, &meant, pace, may_copy);
     if here
         .as_ref()
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -18,6 +18,7 @@
 use crate::feed::Feed;
 use crate::metrics::EdgeMetrics;
 use crate::pace::Pace;
+use crate::presence::VmEntry;
 use crate::reach::RouteReach;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
@@ -51,6 +52,8 @@
     pub membership: Membership,
     /// The connections with peers.
     pub net: PeerNet,
+    /// The VMs that are there, as they were looked for last.
+    pub vms: RefCell<Rc<Vec<VmEntry>>>,
     /// The most VMs that were ever known at once.
     pub most_vms: Cell<usize>,
     /// What is learned of each service.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -170,6 +170,7 @@
         store,
         membership,
         net,
+        vms: RefCell::default(),
         most_vms: Cell::new(1),
         services: RefCell::default(),
         splits: RefCell::default(),
@@ -273,6 +274,7 @@
 }
 
 fn spawn_tasks(cx: &Rc<EdgeContext>) {
+    presence::refresh(cx);
     let membership = cx.membership.clone();
     cx.feed.watch_where(move || membership.is_watcher());
     monoio::spawn(Rc::clone(&cx.feed).follow());
@@ -289,6 +291,7 @@
         if cx.feed.is_settled() {
             cx.world.borrow_mut().settle();
         }
+        presence::refresh(&cx);
         spill_step::run(&cx);
         if round.is_multiple_of(TICKS_A_SWEEP) {
             let world = cx.world.borrow();
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -1,5 +1,6 @@
 //! Which VMs there are: an entry of each in the store, tied to a lease, and the peers' word.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -42,21 +43,25 @@
 }
 
 /// Gives the VMs that are there as far as the store and the peers say, this one included
-/// unless it is leaving.
-pub fn alive(cx: &EdgeContext) -> Vec<VmEntry> {
-    let doubted: Vec<VmName> = cx
-        .membership
-        .views()
-        .into_iter()
-        .filter(|view| view.state != MemberState::Alive)
-        .map(|view| view.id.vm)
-        .collect();
+/// unless it is leaving. [`refresh`] brings what it gives up to date.
+pub fn alive(cx: &EdgeContext) -> Rc<Vec<VmEntry>> {
+    Rc::clone(&cx.vms.borrow())
+}
+
+/// Looks anew which VMs are there. It is called a few times a second, so that look-ups need
+/// not read all entries each time.
+pub fn refresh(cx: &EdgeContext) {
+    let views = cx.membership.views().into_iter();
+    let doubted = views.filter(|view| view.state != MemberState::Alive);
+    let doubted: HashSet<VmName> = doubted.map(|view| view.id.vm).collect();
     let mut vms = entries(&cx.feed);
     vms.retain(|vm| vm.name != cx.cfg.vm && !doubted.contains(&vm.name));
     if !cx.leaving.is_fired() {
         vms.push(own_entry(cx));
     }
-    vms
+    cx.metrics.vms.set(vms.len() as i64);
+    cx.most_vms.set(cx.most_vms.get().max(vms.len()));
+    *cx.vms.borrow_mut() = Rc::new(vms);
 }
 
 /// Makes the list of VMs that membership reads: the entries, from the copy at hand.
@@ -123,7 +128,6 @@
                 lease
             }
         };
-        note_size(&cx);
         let leaving = cx.leaving.wait();
         futures_util::future::select(cx.timer.wait(EXTEND_EVERY), leaving).await;
     }
@@ -170,9 +174,3 @@
         info!(error:% = error; "this VM's entry could not be withdrawn; its lease will end");
     }
 }
-
-fn note_size(cx: &EdgeContext) {
-    let vms = alive(cx).len();
-    cx.metrics.vms.set(vms as i64);
-    cx.most_vms.set(cx.most_vms.get().max(vms));
-}
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -6,6 +6,7 @@
 use monoio::task::JoinHandle;
 
 use crate::context::EdgeContext;
+use crate::presence;
 
 /// The part of the grace time in which requests are still taken. Callers keep a look-up
 /// answer for seconds; a closed port before they ask again would cost each a failed connect.
@@ -18,6 +19,7 @@
 pub(crate) async fn run(cx: &Rc<EdgeContext>, serving: JoinHandle<()>) {
     let began = cx.now();
     cx.leaving.fire();
+    presence::refresh(cx);
     cx.membership.leave();
     let taking = part(cx, TAKING_PART);
     log::info!(taking_ms = taking.0; "leaving; requests are still taken for a while");
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -241,3 +241,21 @@
     (0..5).for_each(|_| server.note_unanswered(6.0, clock.now()));
     assert!(server.slowness(clock.now()) > 3.0);
 }
+
+/// Story: a route may be served in one region only, and a VM of another region takes its
+/// requests. Its own region has no server that the route allows, and every request is refused.
+#[test]
+fn a_region_without_servers_that_are_allowed_uses_those_of_others() {
+    let clock = TestClock::default().clock();
+    let far: Vec<_> = fleet(&clock)
+        .into_iter()
+        .filter(|u| u.region.as_str() == "south")
+        .collect();
+    let region = "north".into();
+    let wish = wish(1, &region, clock.now());
+    for place in [Place::Domain, Place::Region, Place::Away, Place::Everywhere] {
+        let first = choose(&wish, &far, &Pace::default(), place, false).expect("there are servers");
+        let again = choose(&wish, &far, &Pace::default(), place, false).expect("there are servers");
+        assert_eq!(first.upstream.id, again.upstream.id);
+    }
+}
