--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -18,7 +18,7 @@
 /// The weight of one response in the average of what other VMs have running.
 const OTHERS_PART: f64 = 0.4;
 /// The time after which what was told of others counts for half.
-const OTHERS_HALF_LIFE: Millis = Millis(700);
+const OTHERS_HALF_LIFE: Millis = Millis(350);
 /// The time after which what was seen of its slowness and failures counts for half.
 const JUDGED_HALF_LIFE: Millis = Millis(3_000);
 /// The weight of one response in the average slowness and failure rate.
