Remove settings and fields that nothing reads

The VM's limits, the store's rates, health paths, sequence numbers and two headers were decoded and never used.

--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -59,10 +59,6 @@
 pub struct ServiceSpec {
     /// The service.
     pub name: ServiceName,
-    /// The path that answers whether a backend server is healthy.
-    pub health_path: Arc<str>,
-    /// The connections that a backend server accepts from all VMs together.
-    pub max_connections: usize,
     /// How long a backend server stays cold after its start.
     pub cold_time: Millis,
     /// The requests a second that a cold backend server stands, from all VMs together.
@@ -120,11 +116,6 @@
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
     }
-
-    /// Says whether some route has this host.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.routes.contains_key(without_port(host))
-    }
 }
 
 fn without_port(host: &str) -> &str {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -50,16 +50,12 @@
     pub time_left: HeaderName,
     /// The only run of a backend server that may take the request.
     pub expected_server: HeaderName,
-    /// The run of the backend server that answers.
-    pub server_id: HeaderName,
     /// Marks a response as a backend server's own.
     pub signature: HeaderName,
     /// Says that the backend server did not run the request.
     pub not_run: HeaderName,
     /// The requests running and waiting at the backend server, and its slots.
     pub server_load: HeaderName,
-    /// In a health answer, the milliseconds that the backend server stays cold.
-    pub cold_left: HeaderName,
 }
 
 /// The keys of the store.
@@ -77,8 +73,6 @@
 /// A caller's question where to connect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LookupQuery {
-    /// The host that the caller wants.
-    pub host: String,
     /// The caller's region, where it says so.
     pub region: Option<RegionName>,
     /// The caller's failure domain, where it says so.
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -21,6 +21,4 @@
     pub leaving: bool,
     /// How long it stays cold, counted from when it wrote this.
     pub cold_left: Millis,
-    /// Grows with each time that the server writes.
-    pub sequence: u64,
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -27,8 +27,6 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: StorePlace,
-    /// What this VM has.
-    pub vm_limits: VmLimits,
     /// The bounds that the deployment states.
     #[serde(default)]
     pub bounds: StatedBounds,
@@ -57,42 +55,22 @@
     pub metrics: SocketAddr,
 }
 
-/// The platform's store and the calls that all daemons together may make.
+/// The platform's store.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StorePlace {
     /// Its address.
     pub address: SocketAddr,
-    /// Writing calls a second.
-    pub writes_per_s: f64,
-    /// Reading calls a second.
-    pub reads_per_s: f64,
     /// The shortest lease, in seconds.
     pub min_lease_s: f64,
 }
 
-/// What a VM has for its daemon.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct VmLimits {
-    /// Part of a core.
-    pub cpu: f64,
-    /// Memory, in MB.
-    pub memory_mb: u64,
-    /// Open descriptors.
-    pub descriptors: usize,
-    /// The VM's link, in Mbit/s.
-    pub link_mbps: f64,
-}
-
 /// The bounds as the file holds them; one that is missing or null has its default.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StatedBounds {
     /// See [`Bounds::grace`], in seconds.
     pub grace_s: Option<f64>,
-    /// See [`Bounds::drain`], in seconds.
-    pub drain_s: Option<f64>,
     /// See [`Bounds::retry_ratio`].
     pub retry_ratio: Option<f64>,
     /// See [`Bounds::retry_slack`].
@@ -113,7 +91,6 @@
         };
         Self {
             grace: span(stated.grace_s, default.grace),
-            drain: span(stated.drain_s, default.drain),
             retry_ratio: stated.retry_ratio.unwrap_or(default.retry_ratio),
             retry_slack: stated.retry_slack.unwrap_or(default.retry_slack),
             retry_window: span(stated.retry_window_s, default.retry_window),
@@ -128,8 +105,6 @@
 pub struct Bounds {
     /// How long after SIGTERM the process is killed.
     pub grace: Millis,
-    /// How long a backend server goes on serving once it said that it leaves.
-    pub drain: Millis,
     /// Further sends of requests, as a part of the requests.
     pub retry_ratio: f64,
     /// Further sends beyond that part, over all VMs, in a window.
@@ -147,7 +122,6 @@
     fn default() -> Self {
         Self {
             grace: Millis(5_000),
-            drain: Millis(2_000),
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window: Millis(10_000),
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -52,7 +52,6 @@
         slots: 3,
         leaving: false,
         cold_left: Millis(0),
-        sequence: 1,
     }
 }
 
@@ -114,8 +113,6 @@
 pub fn spec(name: &str) -> ServiceSpec {
     ServiceSpec {
         name: name.into(),
-        health_path: "/health".into(),
-        max_connections: 100,
         cold_time: Millis(3_000),
         cold_rate: 2.0,
     }
@@ -133,14 +130,13 @@
 fn read_registration(key: &str, value: &Bytes) -> Result<Registration, String> {
     let text = String::from_utf8_lossy(value).into_owned();
     let words: Vec<&str> = text.split(' ').collect();
-    let [service, domain, state, cold, sequence] = words[..] else {
+    let [service, domain, state, cold, _sequence] = words[..] else {
         return Err("not five words".to_owned());
     };
     let mut reg = registration(key.trim_start_matches("server/"), domain);
     reg.service = service.into();
     reg.leaving = state == "leaving";
     reg.cold_left = Millis(cold.parse().map_err(|_| "no time")?);
-    reg.sequence = sequence.parse().map_err(|_| "no sequence")?;
     Ok(reg)
 }
 
@@ -151,11 +147,9 @@
             request_id: name("id"),
             time_left: name("left"),
             expected_server: name("expected"),
-            server_id: name("server"),
             signature: name("signature"),
             not_run: name("not-run"),
             server_load: name("load"),
-            cold_left: name("cold"),
         },
         keys: KeyNames {
             catalog: "catalog",
@@ -168,7 +162,6 @@
         asks_ready: Rc::new(|_| true),
         lookup: Rc::new(|_| {
             Ok(LookupQuery {
-                host: String::new(),
                 region: None,
                 domain: None,
             })
