Take a settled peer's word that a missing entry is gone

Its peers told it of the removed entry at once, but each failure of its own way to the store put off the time from which a missing entry counts as gone, the last time to 17.5 s. Ruled out: a change lost at the dropped history (the removal had arrived and waited).

Change: only a time without any word, first hand or through peers, makes missing entries wait; a peer that is settled confirms them at once; the wait is 2.2 s, the longest pause between two tries of the store 0.4 s.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -31,7 +31,7 @@
 /// Without word from the store for this long, peers are asked.
 const QUIET_LIMIT: Millis = Millis(1_700);
 /// The longest pause between two tries of a store that does not answer.
-const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(800);
+const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
 
 /// The copy of the store's keys, and how it is kept.
 pub struct Feed {
@@ -42,7 +42,8 @@
     settle: Millis,
     /// The time of the newest word of the store, first hand or through peers.
     last_word: Cell<Option<Millis>>,
-    lost: Cell<bool>,
+    /// Whether this VM's own last call failed; peers may be heard all the while.
+    unreachable: Cell<bool>,
     settled_at: Cell<Millis>,
     is_watcher: RefCell<Option<Rc<dyn Fn() -> bool>>>,
     news: RefCell<Flag>,
@@ -58,7 +59,7 @@
             world,
             settle,
             last_word: Cell::new(None),
-            lost: Cell::new(false),
+            unreachable: Cell::new(false),
             settled_at: Cell::new(Millis(0)),
             is_watcher: RefCell::default(),
             news: RefCell::default(),
@@ -97,7 +98,7 @@
     /// Says whether a missing entry means that it was taken away, rather than that it lapsed
     /// while the store was away and may come back.
     pub fn is_settled(&self) -> bool {
-        self.is_fresh() && !self.lost.get() && self.timer.now() >= self.settled_at.get()
+        self.is_fresh() && self.timer.now() >= self.settled_at.get()
     }
 
     /// Follows the store for as long as the process runs.
@@ -214,33 +215,42 @@
     /// The age is passed on with every word. Two VMs that are both cut off from the store
     /// would otherwise take each other's answers for the store's for ever.
     pub fn heard_from_peer(&self, age: Millis) {
-        let now = self.timer.now();
-        let said = now - age;
-        if self.last_word.get().is_some_and(|last| last >= said) {
-            return;
-        }
-        self.last_word.set(Some(said));
-        if age < QUIET_LIMIT && self.lost.replace(false) {
-            info!(age_ms = age.0; "peers tell what the store says");
-            self.settled_at.set(now + self.settle);
-        }
+        self.note_word(self.timer.now() - age);
+    }
+
+    /// Takes it from a peer whose word is settled that entries which are missing here are gone.
+    ///
+    /// A VM whose own way to the store is cut, while its peers' is not, could otherwise not tell
+    /// a server that was taken away from an entry that lapsed, and would go on sending to it.
+    pub fn confirm(&self) {
+        self.world.borrow_mut().settle();
     }
 
     fn heard(&self) {
-        let now = self.timer.now();
-        let quiet = self
-            .last_word
-            .replace(Some(now))
-            .map(|last| now.since(last));
-        let silent = quiet.is_some_and(|quiet| quiet > QUIET_LIMIT + WATCH_PAUSE);
-        if self.lost.replace(false) || silent {
-            info!(store:% = self.store.peer, quiet_ms = quiet.unwrap_or_default().0; "the store answers again");
-            self.settled_at.set(now + self.settle);
+        if self.unreachable.replace(false) {
+            info!(store:% = self.store.peer; "the store answers again");
+        }
+        self.note_word(self.timer.now());
+    }
+
+    /// Notes what the store said at `said`. After a time without any word, from itself or
+    /// through peers, entries may have lapsed and come back a little later. A process that has
+    /// just started doesn't know what was before, and takes it for such a time.
+    fn note_word(&self, said: Millis) {
+        let last = self.last_word.get();
+        if last.is_some_and(|last| last >= said) {
+            return;
+        }
+        self.last_word.set(Some(said));
+        let quiet = last.map(|last| said.since(last));
+        if quiet.is_none_or(|quiet| quiet > QUIET_LIMIT + WATCH_PAUSE) {
+            info!(quiet_ms = quiet.unwrap_or_default().0; "the store is heard of");
+            self.settled_at.set(self.timer.now() + self.settle);
         }
     }
 
     fn note_failure(&self, error: &StoreError) {
-        if !self.lost.replace(true) {
+        if !self.unreachable.replace(true) {
             let at = self.mirror.borrow().at();
             warn!(step:% = error.step, store:% = error.peer, error:% = error.source, held:% = at;
                 "the store does not answer; what is held stays in force");
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -148,6 +148,9 @@
         true => cx.feed.take_list(keys, at, answer.settled),
         false => cx.feed.take_changes(keys, at, answer.settled),
     }
+    if answer.settled {
+        cx.feed.confirm();
+    }
 }
 
 fn to_sent(change: Change) -> SentKey {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -126,7 +126,7 @@
             retry_slack: 10.0,
             retry_window: Millis(10_000),
             max_lookup_ttl: Millis(2_000),
-            settle: Millis(2_500),
+            settle: Millis(2_200),
         }
     }
 }
