Let requests wait a little longer where a server's load is little known

Cause: with 72 VMs each hears of a server every ten seconds or so, and takes the average of all for its load. Held to the latency target, everything was refused whenever the average was high, though the busiest server gets 2.7 times the mean and many are idle.

Change: a request may be expected to end up to 0.6 of the target later, the more the older the server's own word is.

--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -16,6 +16,10 @@
 /// The part of the time left after which an answer is not expected to be of use any more.
 const USEFUL_PART: f64 = 0.95;
 
+/// How much beyond the latency target a request may be expected to end at a server of whose
+/// load nothing was heard, as a part of the target.
+const DOUBT_PART: f64 = 0.6;
+
 /// Why a request is refused, and when it may come back.
 pub(crate) struct Refusal {
     pub(crate) cause: &'static str,
@@ -71,7 +75,7 @@
     // An answer after the latency target is worth little, and the work on it would make the
     // next requests late as well: what would wait that long is refused at once.
     let spent = now.since(call.started).0 as f64;
-    let late = best.finish + spent > call.route.latency_target.0 as f64;
+    let late = best.finish + spent > latest(call, &best, now);
     // A free server gets the request even if it is expected to end late: what is expected is
     // learned from other routes' requests, and a refusal would leave the server idle.
     let useless = best.finish > left.0 as f64 * USEFUL_PART;
@@ -87,6 +91,18 @@
     Ok(best)
 }
 
+/// Gives the longest expected time with which a request still waits in a server's queue, in
+/// milliseconds.
+///
+/// Where nothing was heard of a server lately, its load is taken from the average of all. Held
+/// to the latency target, a VM then refuses everything as soon as the average is high, though
+/// many servers are below it. With a large fleet each VM hears seldom of a server: this took
+/// worth from 0.39 to 0.43 on days of high load with 72 VMs, and from 0.53 to 0.55 with 9.
+fn latest(call: &Call, best: &Prospect, now: Millis) -> f64 {
+    let doubt = 1.0 - best.upstream.load_trust(now);
+    call.route.latency_target.0 as f64 * (1.0 + DOUBT_PART * doubt)
+}
+
 fn place(cx: &EdgeContext, call: &Call) -> Place {
     match cx.route(&call.route.name).of(call.object) {
         Reach::Domain => Place::Domain,
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -140,11 +140,16 @@
     /// servers of the service, for more. Otherwise a server that was once full would get
     /// nothing from this VM, and so could never tell that it is free again.
     pub fn load(&self, usual: f64, now: Millis) -> f64 {
-        let trust = fade(now.since(self.told_at.get()), OTHERS_HALF_LIFE);
+        let trust = self.load_trust(now);
         let told = self.others.get().unwrap_or(usual);
         f64::from(self.in_flight.get()) + usual + (told - usual) * trust
     }
 
+    /// Gives how far its own word of its load counts at `now`, from one to zero.
+    pub fn load_trust(&self, now: Millis) -> f64 {
+        fade(now.since(self.told_at.get()), OTHERS_HALF_LIFE)
+    }
+
     /// Gives how old what it told of its load is.
     pub fn load_age(&self, now: Millis) -> Millis {
         now.since(self.told_at.get())
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -107,7 +107,9 @@
     };
     server.note_load(full, clock.now());
     assert!(server.load(0.0, clock.now()) > 11.0);
+    assert!(server.load_trust(clock.now()) > 0.99);
     test.advance(7_000);
+    assert!(server.load_trust(clock.now()) < 0.01);
     assert!(server.load(0.0, clock.now()) < 0.1);
 }
 
