Let a few VMs near the store read it, and a VM that starts ask its domain

Cause: every VM read the whole list of servers by itself after a start, and one VM of each domain watched the store.

Change: one VM of each domain in the region nearest to the store reads it (measured, told in the VMs' entries), the heads of other domains hear from those, all others from their head or its deputy. A VM that starts reads the VMs' entries first. Sources that are stale or don't answer are left alone for a while. The head is the VM with the widest link: one of 10 Mbit/s took 0.7 s to send a dozen copies after a restart. A list that is read after the store forgot its history no longer sends everybody a whole copy.

Ruled out: the servers' heartbeats as the cause.

Also: the log told the age of a server's load as of the answer, not as of the choice.

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -74,6 +74,10 @@
     pub finish: f64,
     /// The requests that it is expected to have, of this VM and of others.
     pub load: f64,
+    /// How old what it told of its load is.
+    pub load_age: Millis,
+    /// This VM's own requests at it.
+    pub own: u32,
     /// What taking it costs, in milliseconds: the time, and what others lose.
     pub cost: f64,
 }
@@ -179,6 +183,8 @@
         work,
         finish: work + wait,
         load,
+        load_age: upstream.load_age(wish.now),
+        own: upstream.in_flight(),
         cost: work * (1.0 + FAILING_COST * upstream.failing(wish.now)) + wait + extra,
         upstream: Rc::clone(upstream),
     }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -18,8 +18,9 @@
 use crate::feed::Feed;
 use crate::metrics::EdgeMetrics;
 use crate::pace::Pace;
-use crate::presence::VmEntry;
+use crate::presence::{VmEntries, VmEntry};
 use crate::reach::RouteReach;
+use crate::relay::Relay;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
 use crate::split::Split;
@@ -52,6 +53,14 @@
     pub membership: Membership,
     /// The connections with peers.
     pub net: PeerNet,
+    /// The VMs' entries in the store.
+    pub entries: Rc<VmEntries>,
+    /// Whether those entries were read since this process started.
+    pub knows_vms: Cell<bool>,
+    /// How long the store took to answer this VM's last request for a lease.
+    pub store_way: Cell<Option<Millis>>,
+    /// Who hears from whom.
+    pub relay: RefCell<Rc<Relay>>,
     /// The VMs that are there, as they were looked for last.
     pub vms: RefCell<Rc<Vec<VmEntry>>>,
     /// The most VMs that were ever known at once.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::distance::Distances;
 use crate::feed::Feed;
 use crate::metrics::EdgeMetrics;
+use crate::presence::VmEntries;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::world::World;
 use crate::{distance, forward, lookup, peer_feed, presence, reply, spill_step, stop};
@@ -35,10 +36,6 @@
 /// The longest message between daemons: the copy of the store's keys of a whole deployment.
 const MAX_PEER_MESSAGE: usize = 4 << 20;
 
-/// VMs of each failure domain that watch the store. One suffices: the others find out within
-/// a second and a half that it tells nothing, and watch the store themselves.
-const WATCHERS: usize = 1;
-
 /// Why a daemon did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -159,7 +156,11 @@
     let metrics = EdgeMetrics::register(&registry).context(MetricsSnafu)?;
     let mut rng = fastrand::Rng::new();
     let incarnation = Incarnation(rng.u64(1..));
-    let (membership, net) = join_peers(&cfg, incarnation, &feed, &timer)?;
+    let entries = Rc::new(VmEntries::new(Rc::clone(&feed)));
+    let mut methods = MethodTable::default();
+    peer_feed::register(&mut methods, &feed, &timer);
+    distance::register(&mut methods);
+    let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
     Ok(Rc::new(EdgeContext {
         region,
         incarnation,
@@ -170,6 +171,10 @@
         store,
         membership,
         net,
+        entries,
+        knows_vms: Cell::new(false),
+        store_way: Cell::new(None),
+        relay: RefCell::default(),
         vms: RefCell::default(),
         most_vms: Cell::new(1),
         services: RefCell::default(),
@@ -189,7 +194,8 @@
 fn join_peers(
     cfg: &EdgeConfig,
     incarnation: Incarnation,
-    feed: &Rc<Feed>,
+    mut methods: MethodTable,
+    entries: &Rc<VmEntries>,
     timer: &Timer,
 ) -> Result<(Membership, PeerNet), StartError> {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -202,12 +208,9 @@
         address: cfg.listen.peers,
         callers: Some(cfg.listen.requests),
     };
-    let mut methods = MethodTable::default();
-    peer_feed::register(&mut methods, feed, timer);
-    distance::register(&mut methods);
     let membership_cx = MembershipContext {
         seeds: cfg.seeds.clone(),
-        platform: Some(presence::vm_list(feed)),
+        platform: Some(presence::vm_list(entries)),
         revision: Rc::new(Revision::default),
         reports: None,
         hooks: MembershipHooks::default(),
@@ -215,7 +218,6 @@
             suspicion: Millis(2_000),
             periods_elsewhere: 3,
             periods_platform: 2,
-            watchers: WATCHERS,
             answer_timeout: Millis(700),
             ..MembershipOptions::default()
         },
@@ -276,8 +278,9 @@
 
 fn spawn_tasks(cx: &Rc<EdgeContext>) {
     presence::refresh(cx);
-    let membership = cx.membership.clone();
-    cx.feed.watch_where(move || membership.is_watcher());
+    let reader = Rc::downgrade(cx);
+    cx.feed
+        .watch_where(move || reader.upgrade().is_none_or(|cx| is_to_read_store(&cx)));
     monoio::spawn(Rc::clone(&cx.feed).follow());
     monoio::spawn(presence::run(Rc::clone(cx)));
     monoio::spawn(peer_feed::run(Rc::clone(cx)));
@@ -286,6 +289,15 @@
     cx.membership.run(cx.net.clone());
 }
 
+/// Says whether this VM is one of those that read the store. After a start the head of a far
+/// domain reads it as well: what its domain waits for is there sooner than over another VM.
+fn is_to_read_store(cx: &EdgeContext) -> bool {
+    let relay = cx.relay.borrow();
+    let me = &cx.cfg.vm;
+    let is_first_reading = cx.feed.is_patient() && relay.is_head(me, &cx.cfg.domain);
+    cx.knows_vms.get() && (relay.reads_store(me) || is_first_reading)
+}
+
 async fn tick(cx: Rc<EdgeContext>) {
     for round in 1_u64.. {
         cx.timer.wait(TICK).await;
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -1,9 +1,9 @@
 //! Keeps the copy of the store's keys up to date, from the store or from peers.
 //!
-//! A few VMs of each failure domain watch the store and the others hear from them, since a
-//! call on the store costs about as much as a request. The store's revisions tell which of
-//! two words is newer, so it does not matter who brings them. A VM that hears nothing watches
-//! the store itself, and one that the store turns away asks any peer.
+//! A few VMs watch the store and the others hear from them, since a call on the store costs
+//! about as much as a request, and most of what it says changes nothing. The store's revisions
+//! tell which of two words is newer, so it does not matter who brings them. A VM that hears
+//! nothing watches the store itself, and one that the store turns away asks any peer.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -23,13 +23,21 @@
 
 /// The pause before a VM looks again whether it is to watch the store.
 const IDLE_PAUSE: Millis = Millis(200);
+/// The same while a process that has just started knows nothing yet.
+const START_PAUSE: Millis = Millis(20);
 /// The pause between two readings of a watch. Backend servers write about once a second
 /// each, so a watch that answered each write would cost a call for each; a pause lets them
-/// gather. With the store's answer it is well under the time in which changes must be in
-/// force.
-const WATCH_PAUSE: Millis = Millis(700);
+/// gather. Others hear of it over two VMs, each of which may hold an answer back, and all of
+/// that must stay under [`QUIET_LIMIT`] or every VM would watch for itself.
+const WATCH_PAUSE: Millis = Millis(500);
 /// Without word from the store for this long, peers are asked.
 const QUIET_LIMIT: Millis = Millis(1_700);
+/// How long a process that has just started waits for its peers' copy of the store's keys
+/// before it reads all of them itself. The whole list is most of what crosses between regions
+/// where hundreds of VMs start together. Where they do so for the first time, each enters
+/// itself in the store, waits for the others' entries, reads them and asks one of them, which
+/// takes a little over a second in far regions.
+const START_PATIENCE: Millis = Millis(2_000);
 /// The longest pause between two tries of a store that does not answer.
 const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
 
@@ -45,6 +53,8 @@
     /// Whether this VM's own last call failed; peers may be heard all the while.
     unreachable: Cell<bool>,
     settled_at: Cell<Millis>,
+    /// When this VM reads all keys itself where it has not heard anything by then.
+    patient_until: Cell<Millis>,
     is_watcher: RefCell<Option<Rc<dyn Fn() -> bool>>>,
     news: RefCell<Flag>,
 }
@@ -52,7 +62,9 @@
 impl Feed {
     /// Makes a feed that has read nothing.
     pub fn new(store: Store, timer: Timer, world: Rc<RefCell<World>>, settle: Millis) -> Rc<Self> {
+        let patient_until = Cell::new(timer.now() + START_PATIENCE);
         Rc::new(Self {
+            patient_until,
             store,
             timer,
             mirror: RefCell::default(),
@@ -85,7 +97,47 @@
     /// anything lately.
     pub fn is_to_watch(&self) -> bool {
         let is_watcher = self.is_watcher.borrow().clone();
-        !self.is_fresh() || is_watcher.is_none_or(|is_watcher| is_watcher())
+        let is_left_alone = !self.is_fresh() && !self.is_patient();
+        is_left_alone || is_watcher.is_none_or(|is_watcher| is_watcher())
+    }
+
+    /// Says whether this process has just started and leaves it to its peers to tell it what
+    /// the store holds.
+    pub fn is_patient(&self) -> bool {
+        self.last_word.get().is_none() && self.timer.now() < self.patient_until.get()
+    }
+
+    /// Gives the pause before a VM looks again whether it is to call anybody.
+    pub fn idle_pause(&self) -> Millis {
+        if self.is_patient() {
+            START_PAUSE
+        } else {
+            IDLE_PAUSE
+        }
+    }
+
+    /// Says whether this VM's own last call on the store failed.
+    pub fn is_cut_off(&self) -> bool {
+        self.unreachable.get()
+    }
+
+    /// Ends the wait for peers after a start, since there are none to be found.
+    pub fn end_patience(&self) {
+        let now = self.timer.now();
+        self.patient_until.set(self.patient_until.get().min(now));
+    }
+
+    /// Reads the keys that begin with `prefix`, and no others.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the store does not answer.
+    pub async fn read_part(&self, prefix: &str) -> Result<(), StoreError> {
+        let found = self.store.range(RangeRequest::prefix(prefix)).await?;
+        let listed = found.kvs.into_iter().map(Change::from).collect();
+        // What else changed up to that revision is not here.
+        self.take_changes(listed, StoreRevision(0), false);
+        Ok(())
     }
 
     /// Says whether the store was heard from lately.
@@ -109,7 +161,7 @@
         let mut forgotten = false;
         loop {
             if !self.is_to_watch() {
-                self.timer.wait(IDLE_PAUSE).await;
+                self.timer.wait(self.idle_pause()).await;
                 continue;
             }
             match self.follow_once(&mut forgotten, &mut failures).await {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod quantile;
 pub mod reach;
 pub mod registration;
+pub mod relay;
 mod reply;
 pub mod settings;
 pub mod spill;
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use heatherknot_store::port::{KeyValue, StoreRevision};
 
+/// Gaps that are remembered at most.
+const MAX_GAPS: usize = 8;
 /// Deleted keys that are remembered at most. Beyond them a peer that is far behind gets a
 /// whole copy instead of what changed.
 const MAX_DELETED: usize = 4_096;
@@ -47,6 +49,9 @@
     at: StoreRevision,
     /// Deletions at or below this revision may have been forgotten.
     floor: StoreRevision,
+    /// Revisions between which a list was read instead of every change. A key that came and
+    /// went between the two was never here, so a peer that stands inside may hold it.
+    gaps: Vec<(StoreRevision, StoreRevision)>,
 }
 
 impl Mirror {
@@ -138,14 +143,26 @@
                 changed.push(change);
             }
         }
-        self.floor = self.floor.max(at);
+        self.note_gap(at);
         self.advance(at);
         changed
     }
 
+    /// Notes that a list was read at `at`. A peer that has heard of nothing past what was here
+    /// before misses no deletion, and need not be sent everything anew.
+    fn note_gap(&mut self, at: StoreRevision) {
+        if self.at == StoreRevision(0) || self.gaps.len() == MAX_GAPS {
+            self.floor = self.floor.max(at);
+            self.gaps.clear();
+        } else if at > self.at {
+            self.gaps.push((self.at, at));
+        }
+    }
+
     /// Gives the changes after `after` that matter, or nothing where that is no longer known.
     pub fn since(&self, after: StoreRevision) -> Option<Vec<Change>> {
-        if after < self.floor {
+        let is_inside = |(from, to): &(StoreRevision, StoreRevision)| *from < after && after < *to;
+        if after < self.floor || self.gaps.iter().any(is_inside) {
             return None;
         }
         let newer = self.keys.iter().filter(|(_, held)| held.mattered > after);
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -1,5 +1,6 @@
 //! What changed in the store, heard from peers.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use crate::context::EdgeContext;
 use crate::feed::Feed;
 use crate::mirror::{Change, Known};
+use crate::presence;
 
 /// The method that gives what changed after a revision.
 const CHANGES: &str = "e.changes";
@@ -24,8 +26,13 @@
 const ASK_LIMIT: Millis = Millis(1_100);
 /// The pause after a question that brought nothing of use.
 const FAILED_PAUSE: Millis = Millis(200);
-/// The pause between two looks at whether this VM is to ask.
-const IDLE_PAUSE: Millis = Millis(200);
+/// The age from which what a peer last heard of the store is too old to go on asking it. Over
+/// two VMs on the way, a word is up to 1.4 s old when all goes well: half a second from one
+/// reading to the next, and an answer held back at each of the two. A peer's own is a hold
+/// less.
+const STALE: Millis = Millis(1_200);
+/// How long a peer that did not answer, or had nothing new, is left alone.
+const AVOID_FOR: Millis = Millis(3_000);
 
 /// One key on its way between daemons.
 #[derive(Debug, Serialize, Deserialize)]
@@ -57,6 +64,9 @@
 }
 
 /// Registers the method that answers peers.
+///
+/// An answer is held back while it would tell nothing new, or nothing at all: where VMs start
+/// together, the one that is asked may be just about to hear.
 pub fn register(methods: &mut MethodTable, feed: &Rc<Feed>, timer: &Timer) {
     let (feed, timer) = (Rc::clone(feed), timer.clone());
     methods.register(CHANGES, move |_, after: u64| {
@@ -65,7 +75,8 @@
             let after = StoreRevision(after);
             let news = feed.news();
             let now = changes_after(&feed, after);
-            if !now.keys.is_empty() || now.whole {
+            let has_news = now.age_ms.is_some() && !now.keys.is_empty();
+            if has_news || now.whole {
                 return Ok(now);
             }
             select(news.wait(), timer.wait(HOLD)).await;
@@ -90,55 +101,82 @@
 
 /// Hears from peers for as long as this VM does not watch the store, or the store is quiet.
 pub async fn run(cx: Rc<EdgeContext>) {
+    let mut avoided = HashMap::new();
     loop {
-        if cx.leaving.is_fired() || (cx.feed.is_to_watch() && cx.feed.is_fresh()) {
-            cx.timer.wait(IDLE_PAUSE).await;
+        let knows_nobody = cx.feed.is_patient() && !cx.knows_vms.get();
+        let has_the_store = cx.feed.is_to_watch() && cx.feed.is_fresh();
+        if cx.leaving.is_fired() || has_the_store || knows_nobody {
+            cx.timer.wait(cx.feed.idle_pause()).await;
             continue;
         }
-        match ask_one(&cx).await {
-            Ok(true) => {}
-            Ok(false) => cx.timer.wait(FAILED_PAUSE).await,
+        let source = source(&cx, &mut avoided);
+        if source.is_none() {
+            cx.feed.end_patience();
+        }
+        if source.is_none() && !cx.feed.is_cut_off() {
+            // The store will tell it, and a seed may be in any region.
+            cx.timer.wait(FAILED_PAUSE).await;
+            continue;
+        }
+        let is_stale = match ask(&cx, source.as_ref()).await {
+            Ok(Some(age)) if age < STALE => continue,
+            Ok(Some(_)) => true,
+            // Where VMs start together, the one that is asked may just not have read it yet.
+            Ok(None) => !cx.feed.is_patient(),
             Err(error) => {
                 debug!(error:% = error; "a peer could not be asked for what changed");
-                cx.timer.wait(FAILED_PAUSE).await;
+                true
             }
+        };
+        if let Some(vm) = source.filter(|_| is_stale) {
+            avoided.insert(vm, cx.now() + AVOID_FOR);
         }
+        cx.timer.wait(FAILED_PAUSE).await;
     }
 }
 
-/// Asks one peer for what changed; says whether it hears from the store.
-async fn ask_one(cx: &EdgeContext) -> Result<bool, PeerError> {
+/// Asks a VM for what changed, or one of the seeds where no VM is known. Gives how long ago the
+/// store said what it holds.
+async fn ask(cx: &EdgeContext, source: Option<&VmName>) -> Result<Option<Millis>, PeerError> {
     let after = cx.feed.mirror().at();
     let opts = CallOptions::idempotent(ASK_LIMIT);
-    let answer: Changes = match source(cx) {
-        Some(vm) => cx.net.call_with(&vm, CHANGES, &after.0, opts).await?,
+    let answer: Changes = match source {
+        // Just after a start the entries are known and the heartbeats have found nobody.
+        Some(vm) => match presence::peer_address(cx, vm) {
+            Some(at) => cx.net.call_address(at, CHANGES, &after.0, opts).await?,
+            None => cx.net.call_with(vm, CHANGES, &after.0, opts).await?,
+        },
         None => {
             let own = cx.cfg.listen.peers;
             let seeds: Vec<_> = cx.cfg.seeds.iter().filter(|s| **s != own).collect();
             let Some(seed) = cx.rng.borrow_mut().choice(seeds).copied() else {
-                return Ok(false);
+                return Ok(None);
             };
             cx.net.call_address(seed, CHANGES, &after.0, opts).await?
         }
     };
-    if let Some(age) = answer.age_ms {
+    let age = answer.age_ms;
+    if let Some(age) = age {
         cx.feed.heard_from_peer(age);
     }
     if answer.at >= after.0 {
         take(cx, answer);
     }
-    Ok(cx.feed.is_fresh())
+    Ok(age)
 }
 
-/// Gives the VM to ask: a watcher of this domain, or any VM once nothing is heard.
-fn source(cx: &EdgeContext) -> Option<VmName> {
-    if cx.feed.is_fresh() {
-        let watchers = cx.membership.watchers();
-        if let Some(vm) = watchers.into_iter().find(|vm| *vm != cx.cfg.vm) {
-            return Some(vm);
-        }
-    }
-    cx.membership.random_peer()
+/// Gives the VM to ask: the best source that is not to be avoided, or any VM where there is
+/// none and the store does not answer either.
+///
+/// A source that is cut off from the store goes on answering. Whoever went on asking it would
+/// hear nothing for as long as the cut lasts, and be thrown back on the store itself together
+/// with everybody else who asks there.
+fn source(cx: &EdgeContext, avoided: &mut HashMap<VmName, Millis>) -> Option<VmName> {
+    let now = cx.now();
+    avoided.retain(|_, until| *until > now);
+    let sources = cx.relay.borrow().sources(&cx.cfg.vm, &cx.cfg.domain);
+    let usable = sources.into_iter().find(|vm| !avoided.contains_key(vm));
+    usable.or_else(|| cx.membership.random_peer().filter(|_| cx.feed.is_cut_off()))
 }
 
 fn take(cx: &EdgeContext, answer: Changes) {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -27,6 +27,9 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: StorePlace,
+    /// What this VM's link carries each way, in megabits a second, where it is known.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// The bounds that the deployment states.
     #[serde(default)]
     pub bounds: StatedBounds,
--- a/crates/edge/src/story.rs
+++ b/crates/edge/src/story.rs
@@ -62,8 +62,8 @@
             free: prospect.free,
             expected: prospect.finish as u64,
             load: prospect.load,
-            load_age: upstream.load_age(at),
-            own: upstream.in_flight(),
+            load_age: prospect.load_age,
+            own: prospect.own,
         }
     }
 }
@@ -91,7 +91,7 @@
     if let Some(best) = &tries.refused_by {
         info!(id, upstream:% = best.upstream.id, region:% = best.upstream.region, warm = best.warm,
             expected_ms = best.finish as u64, load = best.load,
-            load_age_ms = best.upstream.load_age(call.started).0; "best server, too late");
+            load_age_ms = best.load_age.0; "best server, too late");
     }
     info!(id, route:% = call.route.name, service:% = call.service, object = call.object,
         config = call.catalog.version, outcome, status = response.status.as_u16(), took_ms = took.0,
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -261,3 +261,31 @@
         assert_eq!(first.upstream.id, again.upstream.id);
     }
 }
+
+/// Story: an engineer asks why a full server was chosen. The log said that its load had just
+/// been told, since the answer to that very request had told it meanwhile.
+#[test]
+fn a_choice_keeps_the_age_of_what_it_was_made_from() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let server = upstream("a", "north", &clock.clock());
+    let told = ServerLoad::parse("1,0,3").expect("a load");
+    server.note_load(told, Millis(9_300));
+    let region = RegionName::from("north");
+    let wish = wish(7, &region, Millis(10_000));
+    let candidates = [Rc::clone(&server)];
+    let chosen = choose(
+        &wish,
+        &candidates,
+        &Pace::default(),
+        Place::Everywhere,
+        true,
+    );
+    let chosen = chosen.expect("there is a server");
+
+    let flight = server.begin();
+    server.note_load(told, Millis(10_400));
+
+    assert_eq!((chosen.load_age, chosen.own), (Millis(700), 0));
+    drop(flight);
+}
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -24,11 +24,13 @@
     }
 }
 
+/// Makes the feed of a VM that is not among those that watch the store, and has run for long.
 fn feed(clock: &TestClock) -> (Rc<Feed>, Rc<RefCell<World>>) {
     let world = Rc::new(RefCell::new(world(&clock.clock())));
     let settle = Millis(2_500);
     let feed = Feed::new(silent_store(), clock.timer(), Rc::clone(&world), settle);
     feed.watch_where(|| false);
+    feed.end_patience();
     (feed, world)
 }
 
@@ -140,3 +142,21 @@
     }
     assert!(feed.is_settled());
 }
+
+/// Story: three hundred VMs start together, and each reads all keys from a store that is in
+/// another region for most of them. The list of thousands of servers crosses to each of them,
+/// and costs more than a minute of service.
+#[test]
+fn a_vm_that_has_just_started_waits_for_its_peers_before_it_reads_everything() {
+    let clock = TestClock::default();
+    let world = Rc::new(RefCell::new(world(&clock.clock())));
+    let feed = Feed::new(silent_store(), clock.timer(), world, Millis(2_500));
+    feed.watch_where(|| false);
+    assert!(!feed.is_to_watch(), "peers may tell it");
+
+    clock.advance(2_100);
+    assert!(feed.is_to_watch(), "nobody did");
+
+    feed.heard_from_peer(Millis(100));
+    assert!(!feed.is_to_watch(), "somebody does now");
+}
--- a/crates/edge/tests/mirror.rs
+++ b/crates/edge/tests/mirror.rs
@@ -59,3 +59,35 @@
     assert_eq!(mirror.since(StoreRevision(4)), None);
     assert_eq!(mirror.all(), [put("a", "x", 2)]);
 }
+
+/// Story: the store forgets its history, and the VM that reads it reads a list instead. All
+/// the others, up to date but for that, would each be sent a copy of everything at once.
+#[test]
+fn a_peer_that_was_up_to_date_before_a_list_gets_only_what_changed() {
+    let mut mirror = Mirror::default();
+    mirror.replace(
+        vec![put("kept", "x", 2), put("gone", "x", 3)],
+        StoreRevision(5),
+    );
+    let changed = mirror.replace(
+        vec![put("kept", "x", 2), put("new", "x", 8)],
+        StoreRevision(9),
+    );
+    changed.iter().for_each(|c| mirror.mark_mattered(&c.key));
+
+    let news = mirror.since(StoreRevision(5)).expect("nothing is missing");
+
+    assert_eq!(news, [delete("gone", 9), put("new", "x", 8)]);
+}
+
+/// A key may have come and gone between the two lists, unseen here. A peer that stands between
+/// them may hold it, and only a whole copy tells it that the key is gone.
+#[test]
+fn a_peer_that_stands_between_two_lists_gets_a_whole_copy() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![put("kept", "x", 2)], StoreRevision(5));
+    mirror.replace(vec![put("kept", "x", 2)], StoreRevision(9));
+
+    assert_eq!(mirror.since(StoreRevision(7)), None);
+    assert_eq!(mirror.since(StoreRevision(9)), Some(Vec::new()));
+}
--- /dev/null
+++ b/crates/edge/tests/relay.rs
@@ -0,0 +1,132 @@
+//! Which VMs read the store, and whom the others ask.
+
+use std::collections::BTreeSet;
+
+use heatherknot_edge::presence::VmEntry;
+use heatherknot_edge::relay::Relay;
+use heatherknot_types::prelude::*;
+
+fn vm(name: &str, domain: &str, region: &str, store_way: Option<u64>) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        domain: domain.into(),
+        region: region.into(),
+        requests: "127.0.0.1:1".parse().expect("an address"),
+        peers: "127.0.0.1:2".parse().expect("an address"),
+        incarnation: Incarnation(1),
+        link_mbps: 100,
+        store_way: store_way.map(Millis),
+    }
+}
+
+/// Two regions of two domains with three VMs each; the store is near the north.
+fn vms() -> Vec<VmEntry> {
+    let domains = [
+        ("n1", "north", 9),
+        ("n2", "north", 11),
+        ("s1", "south", 118),
+        ("s2", "south", 121),
+    ];
+    let of = |(domain, region, way): (&str, &str, u64)| {
+        let make = |i| vm(&format!("{domain}-{i}"), domain, region, Some(way + i));
+        (0..3).map(make).collect::<Vec<_>>()
+    };
+    domains.into_iter().flat_map(of).collect()
+}
+
+fn readers(vms: &[VmEntry]) -> Vec<&VmEntry> {
+    let relay = Relay::new(vms);
+    vms.iter()
+        .filter(|vm| relay.reads_store(&vm.name))
+        .collect()
+}
+
+#[test]
+fn one_vm_of_each_domain_near_the_store_reads_it() {
+    let vms = vms();
+
+    let readers = readers(&vms);
+
+    let domains: Vec<&str> = readers.iter().map(|vm| vm.domain.as_str()).collect();
+    assert_eq!(domains, ["n1", "n2"]);
+}
+
+#[test]
+fn a_domain_reads_for_itself_while_nobody_has_measured_the_way() {
+    let mut vms = vms();
+    vms.iter_mut().for_each(|vm| vm.store_way = None);
+
+    assert_eq!(readers(&vms).len(), 4);
+}
+
+#[test]
+fn every_vm_hears_from_its_domain_and_that_from_a_reader() {
+    let vms = vms();
+    let relay = Relay::new(&vms);
+    let readers: BTreeSet<VmName> = readers(&vms).iter().map(|vm| vm.name.clone()).collect();
+
+    for vm in &vms {
+        let first = relay.sources(&vm.name, &vm.domain).first().cloned();
+        let first = first.expect("somebody else reads the store");
+        let of = vms.iter().find(|vm| vm.name == first).expect("it is known");
+        let is_in_domain = of.domain == vm.domain;
+        assert!(
+            is_in_domain || readers.contains(&first),
+            "{} asks {first}",
+            vm.name
+        );
+        assert!(!relay.sources(&vm.name, &vm.domain).contains(&vm.name));
+    }
+}
+
+/// Story: the region next to the store loses power. Nobody there reads the store any more, and
+/// the VMs that are left would wait for each other. Those of the next region take over as soon
+/// as the entries of the first are gone.
+#[test]
+fn the_next_region_reads_the_store_once_the_nearest_is_gone() {
+    let mut vms = vms();
+    vms.retain(|vm| vm.region != "north".into());
+
+    let readers = readers(&vms);
+
+    assert_eq!(readers.len(), 2);
+    assert!(readers.iter().all(|vm| vm.region == "south".into()));
+}
+
+/// Story: the VM that a domain hears from is cut off from the store and answers on. The others
+/// of its domain need somebody else to ask, and nobody in another region: a copy of everything
+/// for each of them would fill the way between regions.
+#[test]
+fn there_is_somebody_else_to_ask_in_the_same_domain() {
+    let vms = vms();
+    let relay = Relay::new(&vms);
+
+    for vm in vms.iter().filter(|vm| !relay.is_head(&vm.name, &vm.domain)) {
+        let sources = relay.sources(&vm.name, &vm.domain);
+        assert!(relay.is_head(&sources[0], &vm.domain));
+        assert!(sources.len() > 1, "{}: {sources:?}", vm.name);
+        let next = vms
+            .iter()
+            .find(|vm| vm.name == sources[1])
+            .expect("it is known");
+        let is_reader = relay.reads_store(&sources[1]);
+        assert!(
+            is_reader || next.domain == vm.domain,
+            "{}: {sources:?}",
+            vm.name
+        );
+    }
+}
+
+#[test]
+fn the_vm_with_the_widest_link_is_the_head_of_its_domain() {
+    let mut vms = vms();
+    for wide in ["n1-0", "n1-1", "n1-2"] {
+        let widen = |vm: &mut VmEntry| vm.link_mbps = if vm.name == wide.into() { 200 } else { 10 };
+        vms.iter_mut().for_each(widen);
+
+        let relay = Relay::new(&vms);
+
+        assert!(relay.is_head(&wide.into(), &"n1".into()));
+    }
+}
