--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -17,7 +17,13 @@
 use fleet::Fleet;
 
 /// Seeds that failed once, with what was wrong; each is played in every run.
-const FAILED_ONCE: &[(u64, &str)] = &[];
+const FAILED_ONCE: &[(u64, &str)] = &[
+    (
+        105,
+        "a daemon's port was taken by an outgoing connection while it restarted",
+    ),
+    (301, "the same, at another daemon"),
+];
 /// Seeds that a run plays where nothing else is asked for.
 const SEEDS: u64 = 1;
 /// How long faults come, and the pause between two.
