--- a/crates/peer/examples/fleet/main.rs
+++ b/crates/peer/examples/peer_fleet/main.rs
@@ -2,7 +2,7 @@
 //! heartbeats and the relay of settings cost at rest, how soon a lost VM is found, how soon a
 //! change is in force, and the same heartbeats as a full mesh.
 //!
-//! `cargo run --release -p heatherknot-peer --example fleet -- 32 64 128 192`
+//! `cargo run --release -p heatherknot-peer --example peer_fleet -- 32 64 128 192`
 //!
 //! Each size takes about two minutes, and the run ends by itself. Both ends of each
 //! connection count against one process's limit of open files, which bounds the sizes.
