Leave a server alone that answers nothing at all

Each request for an object of a silent server waited out the route's timeout, and slowness alone, which fades, did not keep the next one away.

A server counts as hanging where a request waited five times as long as usual and nothing else was answered meanwhile; it is then tried by one request at a time, as one that can't be reached.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -20,6 +20,9 @@
 /// How many times as long as usual a request must go unanswered to count against its server.
 /// Callers that leave early say nothing of it.
 const SLOW_FROM: f64 = 2.0;
+/// How many times as long as usual a server must answer nothing to be taken for hanging. Work
+/// without a kept object takes four times as long, and a few requests wait before it.
+const HANGS_FROM: f64 = 5.0;
 
 /// What came of one send.
 pub(crate) enum Attempt {
@@ -69,21 +72,31 @@
         Either::Right(_) => Attempt::CallerGone,
     };
     if matches!(attempt, Attempt::Late | Attempt::CallerGone) {
-        learn_unanswered(cx, call, prospect, cx.now().since(sent));
+        learn_unanswered(cx, call, prospect, sent);
     }
     attempt
 }
 
-/// Takes in how long a request got no answer.
+/// Takes in that a request got no answer from `sent` until now.
 ///
 /// A server that has become slow answers nothing in time, so its answers alone would never
-/// tell that it is slow, and it would go on getting its part of the requests.
-fn learn_unanswered(cx: &EdgeContext, call: &Call, prospect: &Prospect, waited: Millis) {
+/// tell that it is slow, and it would go on getting its part of the requests. One that has
+/// answered nobody meanwhile hangs, or is cut off in a way that no connection shows: it is left
+/// alone as one that can't be reached. Otherwise each request for one of its objects would wait
+/// for nothing, for as long as it hangs.
+fn learn_unanswered(cx: &EdgeContext, call: &Call, prospect: &Prospect, sent: Millis) {
     let upstream = &prospect.upstream;
-    let kept = upstream.keeps(call.object, cx.now());
+    let now = cx.now();
+    let kept = upstream.keeps(call.object, now);
+    let waited = now.since(sent);
     let slowness = call.state.pace.slowness(&upstream.region, kept, waited);
-    if let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FROM) {
-        upstream.note_unanswered(slowness, cx.now());
+    let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FROM) else {
+        return;
+    };
+    upstream.note_unanswered(slowness, now);
+    if slowness >= HANGS_FROM && upstream.is_silent_since(sent) {
+        log::info!(upstream:% = upstream.id, waited_ms = waited.0; "a backend server answers nothing and is left alone");
+        upstream.note_failure(now);
     }
 }
 
@@ -103,6 +116,7 @@
         Ok(response) => response,
         Err(error) => return failed(cx, call, prospect, &error),
     };
+    upstream.note_sign_of_life(cx.now());
     note_load(cx, call, prospect, &response.headers);
     if let Some(attempt) = refused(cx, prospect, &response) {
         return attempt;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -57,6 +57,7 @@
     in_flight: Cell<u32>,
     others: Ewma,
     told_at: Cell<Millis>,
+    answered_at: Cell<Millis>,
     slowness: Ewma,
     judged_at: Cell<Millis>,
     failing: Ewma,
@@ -106,6 +107,7 @@
             in_flight: Cell::new(0),
             others: Ewma::default(),
             told_at: Cell::new(Millis(0)),
+            answered_at: Cell::new(Millis(0)),
             slowness: Ewma::default(),
             judged_at: Cell::new(Millis(0)),
             failing: Ewma::default(),
@@ -217,6 +219,16 @@
         objects.insert(object, now);
     }
 
+    /// Takes in that it answered something, whatever that was.
+    pub fn note_sign_of_life(&self, now: Millis) {
+        self.answered_at.set(now);
+    }
+
+    /// Says whether it has answered nothing at all since `since`.
+    pub fn is_silent_since(&self, since: Millis) -> bool {
+        self.answered_at.get() < since
+    }
+
     /// Takes in that a request was without an answer after `slowness` times the usual time.
     pub fn note_unanswered(&self, slowness: f64, now: Millis) {
         self.judged_at.set(now);
