Let a VM that starts read the first keys of the store, all where there are few

Cause: a VM that restarted read the VMs' entries, then asked its domain's head, which read the whole list first. The store gives as many keys as fit one answer; the VMs' entries come first, and where all fit, nobody is to be asked.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -127,17 +127,27 @@
         self.patient_until.set(self.patient_until.get().min(now));
     }
 
-    /// Reads the keys that begin with `prefix`, and no others.
+    /// Reads the keys that come first, as many as the store gives at once; says whether those
+    /// were all. The VMs' entries are among them.
     ///
     /// # Errors
     ///
     /// Fails where the store does not answer.
-    pub async fn read_part(&self, prefix: &str) -> Result<(), StoreError> {
-        let found = self.store.range(RangeRequest::prefix(prefix)).await?;
+    pub async fn read_first(&self) -> Result<bool, StoreError> {
+        let first = RangeRequest {
+            limit: 1,
+            ..RangeRequest::prefix("")
+        };
+        let found = self.store.range(first).await?;
         let listed = found.kvs.into_iter().map(Change::from).collect();
-        // What else changed up to that revision is not here.
-        self.take_changes(listed, StoreRevision(0), false);
-        Ok(())
+        if found.more {
+            // What else there is, and what changed of it, is not here.
+            self.take_changes(listed, StoreRevision(0), false);
+        } else {
+            self.heard();
+            self.take_list(listed, found.revision, self.is_settled());
+        }
+        Ok(!found.more)
     }
 
     /// Says whether the store was heard from lately.
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -192,18 +192,19 @@
     }
 }
 
-/// Reads which VMs there are, after a start; says whether the store answered.
+/// Reads which VMs there are, after a start; says whether the store answered. Where the store
+/// holds little, the same answer holds everything.
 ///
 /// Where this VM's last run has left its entry, so have those of all VMs that were killed
 /// together, and who is to read the whole list is known at once. Serving again soon matters
 /// most then.
 async fn find_vms(cx: &EdgeContext) -> bool {
-    match cx.feed.read_part(VM_KEYS).await {
-        Ok(()) => {
+    match cx.feed.read_first().await {
+        Ok(is_all) => {
             let entries = cx.entries.read();
             let was_here = entries.iter().any(|entry| entry.name == cx.cfg.vm);
             refresh(cx);
-            cx.knows_vms.set(was_here);
+            cx.knows_vms.set(was_here || is_all);
             true
         }
         Err(error) => {
