Leave a hanging server alone for as long as a request waited for it

The plot of a lost domain showed the first pause of 0.25 s to be too short where each try costs 1.5 s.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -96,7 +96,7 @@
     upstream.note_unanswered(slowness, now);
     if slowness >= HANGS_FROM && upstream.is_silent_since(sent) {
         log::info!(upstream:% = upstream.id, waited_ms = waited.0; "a backend server answers nothing and is left alone");
-        upstream.note_failure(now);
+        upstream.note_failure_after(waited, now);
     }
 }
 
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -247,10 +247,16 @@
     /// A server that is gone without a word costs each request that tries it the time of a
     /// connect. It is left alone for a pause that doubles, and then tried by one request.
     pub fn note_failure(&self, now: Millis) {
+        self.note_failure_after(Millis(0), now);
+    }
+
+    /// Takes in the same of a request that has `waited` for nothing. The pause is no shorter than
+    /// that, or the server would get the next request, which waits as long, almost at once.
+    pub fn note_failure_after(&self, waited: Millis, now: Millis) {
         let failures = self.failures.get();
         self.failures.set(failures + 1);
         let pause = Millis(FIRST_PAUSE.0 << failures.min(MAX_DOUBLINGS)).min(LONGEST_PAUSE);
-        self.avoid_until.set(now + pause);
+        self.avoid_until.set(now + pause.max(waited));
         self.judged_at.set(now);
         self.failing.add(1.0, QUALITY_PART);
         self.pool.close_idle();
