--- a/crates/daemon/examples/fleet/child.rs
+++ b/crates/daemon/examples/fleet/child.rs
@@ -50,7 +50,7 @@
     ) -> Result<Self, String> {
         let mut command = Command::new(program);
         command.arg("--config").arg(config);
-        command.stdin(Stdio::null()).stdout(Stdio::null());
+        command.stdin(Stdio::null());
         let started = command.stdout(Stdio::piped()).spawn();
         let mut process = started.map_err(|e| format!("start {}: {e}", program.display()))?;
         let log = process.stdout.take().expect("stdout is piped");
