--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -33,8 +33,8 @@
 /// Without word from the store for this long, peers are asked.
 const QUIET_LIMIT: Millis = Millis(1_700);
 /// How long a process that has just started waits for its peers' copy of the store's keys
-/// before it reads all of them itself. The whole list is most of what crosses between regions
-/// where hundreds of VMs start together. Where they do so for the first time, each enters
+/// before it reads all of them itself. A whole list for each VM of a far region would cross
+/// between regions where hundreds of VMs start together. Where they do so for the first time, each enters
 /// itself in the store, waits for the others' entries, reads them and asks one of them, which
 /// takes a little over a second in far regions.
 const START_PATIENCE: Millis = Millis(2_000);
