--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! One VM of each failure domain in the region nearest to the store reads it. The first-ranked
 //! VM of each other domain hears from those, and all VMs of a domain from its own. Little
-//! crosses between regions then, and few calls are made on the store: a calm day of 72 VMs took
-//! 549 instead of 966. A whole copy goes to one VM of a far domain and not to all of them. On a
+//! crosses between regions then, and few calls are made on the store: the same calm day of 72 VMs took
+//! 561 instead of 862. A whole copy goes to one VM of a far domain and not to all of them. On a
 //! day of 300 VMs with a restart of all, 127 MB crossed between regions instead of 147 MB,
 //! requests included.
 
