Read each row of the configuration by itself; tell runs of one identifier apart

An entry that could no longer be read kept naming its server, and a server that started again under its identifier was taken for its last run.

Change: a row that can't be read is left out and told once; where its host and prefix can be read its requests are not run, else what no route takes is not called unknown. A run is its identifier and its start; older words of it are passed over, and what can't be read names no server. A VM's entry that can't be read is told once, not four times a second.

Ruled out: decoding the one new word alone; the next new word would do the same again.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -85,6 +85,8 @@
     NoCatalog,
     /// No route takes it.
     NoRoute,
+    /// No route takes it, but there are some that can't be read.
+    UnreadRoute,
     /// Its route leads to no service.
     NoTarget,
     /// Its body could not be read.
@@ -98,7 +100,10 @@
     let catalog = catalog.ok_or(Unroutable::NoCatalog)?;
     let host = req.head.headers.get(HOST).and_then(|v| v.to_str().ok());
     let route = catalog.route(host.unwrap_or(""), req.head.path()).cloned();
-    let route = route.ok_or(Unroutable::NoRoute)?;
+    let route = route.ok_or_else(|| match catalog.hides_routes() {
+        true => Unroutable::UnreadRoute,
+        false => Unroutable::NoRoute,
+    })?;
     let target = match route.targets.as_slice() {
         [only] => Some(only),
         targets => {
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -14,6 +14,36 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
     names: HashSet<Arc<str>>,
+    /// Whether there may be routes whose host or prefix can't be read.
+    hides_routes: bool,
+    /// What of it can't be read, one text each.
+    remarks: Vec<String>,
+}
+
+/// What a catalog is made of.
+#[derive(Clone, Debug, Default)]
+pub struct CatalogParts {
+    /// The version.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: Vec<ServiceSpec>,
+    /// The routes that are there and can't be read.
+    pub unread_routes: Vec<UnreadRoute>,
+    /// What else can't be read, one text each.
+    pub remarks: Vec<String>,
+}
+
+/// A route that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadRoute {
+    /// The host that its requests name, where that can be read.
+    pub host: Option<Arc<str>>,
+    /// The beginning of its paths, where that can be read.
+    pub prefix: Option<Arc<str>>,
+    /// Why it can't be read.
+    pub cause: String,
 }
 
 /// Which requests go where, and how they are treated.
@@ -41,6 +71,8 @@
     pub home_regions: Vec<RegionName>,
     /// Whether its answers are known to be large.
     pub large_answers: bool,
+    /// Whether the bodies of its requests are known to be large.
+    pub large_bodies: bool,
     /// Whether a backend server that lately handled an object is faster at it.
     pub sticky: bool,
 }
@@ -65,9 +97,44 @@
     pub cold_rate: f64,
 }
 
+impl Route {
+    /// Makes a route whose requests are not run, as nobody knows which service takes them.
+    fn without_service(host: Arc<str>, prefix: Arc<str>) -> Self {
+        Self {
+            name: format!("{host}{prefix}").into(),
+            host,
+            prefix,
+            targets: Vec::new(),
+            idempotent: false,
+            attempts: 1,
+            timeout: Millis(0),
+            latency_target: Millis(0),
+            priority: 0,
+            home_regions: Vec::new(),
+            large_answers: false,
+            large_bodies: false,
+            sticky: false,
+        }
+    }
+}
+
 impl Catalog {
     /// Makes a catalog from its parts.
-    pub fn new(version: u64, routes: Vec<Route>, services: Vec<ServiceSpec>) -> Self {
+    ///
+    /// A route that can't be read but for its host and prefix keeps its place with no service:
+    /// its requests are not run. Left out, they would take a shorter route to another service,
+    /// or be told for good that nothing takes them.
+    pub fn new(parts: CatalogParts) -> Self {
+        let mut remarks = parts.remarks;
+        let mut routes = parts.routes;
+        let mut hides_routes = false;
+        for unread in parts.unread_routes {
+            remarks.push(unread.cause);
+            match (unread.host, unread.prefix) {
+                (Some(host), Some(prefix)) => routes.push(Route::without_service(host, prefix)),
+                _ => hides_routes = true,
+            }
+        }
         let names = routes.iter().map(|route| Arc::clone(&route.name)).collect();
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
@@ -77,15 +144,27 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
+        let services = parts.services.into_iter().map(|s| (s.name.clone(), s));
         Self {
-            version,
+            version: parts.version,
             routes: by_host,
-            services,
+            services: services.collect(),
             names,
+            hides_routes,
+            remarks,
         }
     }
 
+    /// Says whether a request that no route takes may belong to one that can't be read.
+    pub fn hides_routes(&self) -> bool {
+        self.hides_routes
+    }
+
+    /// Gives what of the configuration can't be read, one text each.
+    pub fn remarks(&self) -> &[String] {
+        &self.remarks
+    }
+
     /// Gives the route of the host with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(without_port(host))?;
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -52,6 +52,9 @@
         }
         Err(Unroutable::NoCatalog) => reply::not_run("no configuration yet", NO_CATALOG_RETURN),
         Err(Unroutable::NoRoute) => reply::no_route(),
+        Err(Unroutable::UnreadRoute) => {
+            reply::not_run("its route may be one that can't be read", NO_CATALOG_RETURN)
+        }
         Err(Unroutable::NoTarget) => reply::not_run("the route has no service", NO_CATALOG_RETURN),
         Err(Unroutable::Body(error)) => reply::bad_body(error.status()),
     }
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -60,7 +60,8 @@
 /// second, and with hundreds of VMs parsing all of them would be most of an idle daemon's work.
 pub struct VmEntries {
     feed: Rc<Feed>,
-    parsed: RefCell<HashMap<String, (Bytes, VmEntry)>>,
+    /// What each value was parsed to; nothing for one that can't be read, which is told once.
+    parsed: RefCell<HashMap<String, (Bytes, Option<VmEntry>)>>,
 }
 
 impl VmEntries {
@@ -79,10 +80,11 @@
         let mut parsed = HashMap::with_capacity(before.len());
         for (key, value) in mirror.with_prefix(VM_KEYS) {
             let kept = before.remove(key).filter(|(from, _)| from == value);
-            let entry = kept.or_else(|| Some((value.clone(), parse(key, value)?)));
-            parsed.extend(entry.map(|entry| (key.to_owned(), entry)));
+            let entry = kept.unwrap_or_else(|| (value.clone(), parse(key, value)));
+            parsed.insert(key.to_owned(), entry);
         }
-        let entries = parsed.values().map(|(_, entry)| entry.clone()).collect();
+        let entries = parsed.values().filter_map(|(_, entry)| entry.clone());
+        let entries = entries.collect();
         *self.parsed.borrow_mut() = parsed;
         entries
     }
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -7,7 +7,7 @@
 /// One run of a backend server, as it registered itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
-    /// The identifier of this run; a restarted server has another.
+    /// Its identifier. A server that starts again may have the one of its last run.
     pub id: UpstreamName,
     /// The service that it runs.
     pub service: ServiceName,
@@ -21,4 +21,7 @@
     pub leaving: bool,
     /// How long it stays cold, counted from when it wrote this.
     pub cold_left: Millis,
+    /// When this run began, in the server's own Unix time; tells runs under one identifier
+    /// apart. Servers of some deployments don't tell it.
+    pub born: Option<Millis>,
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -34,6 +34,8 @@
 pub struct Upstream {
     /// Its identifier.
     pub id: UpstreamName,
+    /// When it started, in its own Unix time, where it told that.
+    pub born: Option<Millis>,
     /// The service that it runs.
     pub service: ServiceName,
     /// The failure domain that it lies in.
@@ -94,6 +96,7 @@
     pub fn new(reg: &Registration, region: RegionName, pool: PoolConfig, clock: &Clock) -> Self {
         Self {
             id: reg.id.clone(),
+            born: reg.born,
             service: reg.service.clone(),
             domain: reg.domain.clone(),
             region,
--- a/crates/edge/src/world.rs
+++ b/crates/edge/src/world.rs
@@ -1,6 +1,6 @@
 //! What this VM believes of routes, backend servers and evacuations, from the store's keys.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 use heatherknot_http::PoolConfig;
@@ -16,6 +16,14 @@
 
 /// Time in which a cold backend server tells that it is cold, beyond its configured time.
 const COLD_REPORT: Millis = Millis(3_000);
+/// Identifiers whose last run has ended that are remembered at most. Words of an ended run come
+/// late by seconds, and in that time far fewer servers end.
+const MAX_ENDED: usize = 1_024;
+/// Lines that are logged at most of what can't be read in one configuration.
+const MAX_REMARKS: usize = 8;
+/// Bytes of a cause that are logged at most. A cause repeats what it found, which anybody may
+/// have written.
+const MAX_CAUSE: usize = 200;
 
 /// What this VM believes.
 pub struct World {
@@ -30,6 +38,8 @@
     evacuated: BTreeSet<DomainName>,
     /// Backend servers whose entries are missing while that may be the store's doing.
     missing: BTreeSet<UpstreamName>,
+    /// The runs of backend servers whose entries are gone, oldest first.
+    ended: VecDeque<(UpstreamName, Millis)>,
 }
 
 impl World {
@@ -51,6 +61,7 @@
             by_service: HashMap::new(),
             evacuated: BTreeSet::new(),
             missing: BTreeSet::new(),
+            ended: VecDeque::new(),
         }
     }
 
@@ -119,6 +130,7 @@
             Ok(reg) => {
                 reg.cold_left.0 > 0
                     || reg.leaving != upstream.leaving.get()
+                    || reg.born != upstream.born
                     || self.missing.contains(&reg.id)
             }
             Err(_) => true,
@@ -145,7 +157,7 @@
         match (self.dialect.catalog)(&change.key, value) {
             Ok(catalog) => self.put_catalog(catalog, change.known.revision),
             Err(cause) => {
-                warn!(key = change.key.as_str(), revision:% = change.known.revision, cause = cause.as_str();
+                warn!(key = change.key.as_str(), revision:% = change.known.revision, cause = bounded(&cause);
                     "a configuration can't be read; the last one stays in force");
             }
         }
@@ -160,6 +172,7 @@
             return;
         }
         info!(version = catalog.version, revision:% = revision, routes = catalog.route_count(); "configuration in force");
+        tell_remarks(&catalog);
         self.catalog_revision = revision;
         self.catalog = Some(Rc::new(catalog));
     }
@@ -210,17 +223,38 @@
                 self.put(&reg)
             }
             Err(cause) => {
-                warn!(key = change.key.as_str(), revision:% = change.known.revision, cause = cause.as_str(); "a backend server's entry can't be read");
-                false
+                warn!(key = change.key.as_str(), revision:% = change.known.revision, cause = bounded(&cause);
+                    "a backend server's entry can't be read");
+                // What stands there now may be anybody's. It says of no server that it still
+                // takes requests, so the one that it named before gets nothing more.
+                self.missing.remove(&id);
+                self.remove(&id, "its entry can't be read")
             }
         }
     }
 
+    /// Takes in a registration that could be read.
+    ///
+    /// A server that starts again under its identifier holds no object, may be cold and has
+    /// none of the requests that its last run had: what was learned of that run would send it
+    /// work at a rate that it can't stand. A word of the last run that arrives after it must
+    /// not bring that run back.
     fn put(&mut self, reg: &Registration) -> bool {
         let now = self.clock.now();
+        match (self.newest_run(&reg.id), reg.born) {
+            (Some(_), None) => return self.remove(&reg.id, "its entry doesn't tell its start"),
+            (Some(known), Some(born)) if born < known => {
+                info!(upstream:% = reg.id, service:% = reg.service; "an entry of an earlier run was passed over");
+                return false;
+            }
+            _ => {}
+        }
         if let Some(upstream) = self.upstreams.get(&reg.id) {
-            refresh(upstream, reg, now);
-            return false;
+            if upstream.born == reg.born {
+                refresh(upstream, reg, now);
+                return false;
+            }
+            self.remove(&reg.id, "it has started again");
         }
         let region = self.region_of(&reg.domain);
         let upstream = Rc::new(Upstream::new(reg, region, self.pool.clone(), &self.clock));
@@ -231,6 +265,17 @@
         true
     }
 
+    /// Gives when the newest run under an identifier began, where that was told.
+    fn newest_run(&self, id: &UpstreamName) -> Option<Millis> {
+        match self.upstreams.get(id) {
+            Some(upstream) => upstream.born,
+            None => {
+                let mut ended = self.ended.iter().rev();
+                ended.find(|(of, _)| of == id).map(|(_, born)| *born)
+            }
+        }
+    }
+
     fn remove(&mut self, id: &UpstreamName, why: &str) -> bool {
         let Some(upstream) = self.upstreams.remove(id) else {
             return false;
@@ -238,6 +283,11 @@
         info!(upstream:% = id, service:% = upstream.service, why; "backend server is gone");
         upstream.leaving.set(true);
         upstream.pool.close_idle();
+        if let Some(born) = upstream.born {
+            self.ended.push_back((id.clone(), born));
+            self.ended
+                .drain(..self.ended.len().saturating_sub(MAX_ENDED));
+        }
         true
     }
 
@@ -255,6 +305,22 @@
     }
 }
 
+/// Logs what of a configuration can't be read.
+fn tell_remarks(catalog: &Catalog) {
+    let remarks = catalog.remarks();
+    for remark in remarks.iter().take(MAX_REMARKS) {
+        warn!(version = catalog.version, cause = bounded(remark); "a part of the configuration can't be read");
+    }
+    if remarks.len() > MAX_REMARKS {
+        warn!(version = catalog.version, parts = remarks.len(); "more parts of the configuration can't be read");
+    }
+}
+
+/// Gives the beginning of a cause that is short enough for a log line.
+fn bounded(cause: &str) -> &str {
+    &cause[..cause.floor_char_boundary(MAX_CAUSE)]
+}
+
 /// Takes over what a known backend server says anew.
 fn refresh(upstream: &Upstream, reg: &Registration, now: Millis) {
     if reg.leaving && !upstream.leaving.replace(true) {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use heatherknot_edge::catalog::{Catalog, Route, ServiceSpec, Target};
+use heatherknot_edge::catalog::{Catalog, CatalogParts, Route, ServiceSpec, Target};
 use heatherknot_edge::dialect::{Dialect, HeaderNames, KeyNames, LookupAnswer, LookupQuery};
 use heatherknot_edge::mirror::{Change, Known};
 use heatherknot_edge::registration::Registration;
@@ -52,6 +52,7 @@
         slots: 3,
         leaving: false,
         cold_left: Millis(0),
+        born: None,
     }
 }
 
@@ -70,6 +71,11 @@
     format!("gallery north-1 {state} {cold_ms} {sequence}").into()
 }
 
+/// Writes the same with the millisecond at which the run began.
+pub fn entry_of_run(born: u64, state: &str, cold_ms: u64) -> Bytes {
+    format!("gallery north-1 {state} {cold_ms} 1 {born}").into()
+}
+
 pub fn put(key: &str, value: impl Into<Bytes>, revision: u64) -> Change {
     Change {
         key: key.to_owned(),
@@ -106,6 +112,7 @@
         priority: 1,
         home_regions: Vec::new(),
         large_answers: false,
+        large_bodies: false,
         sticky: true,
     }
 }
@@ -124,19 +131,30 @@
     let (version, service) = text.split_once(' ').ok_or("no service")?;
     let version = version.parse().map_err(|_| "no version")?;
     let routes = vec![route("shots.example", "/", service)];
-    Ok(Catalog::new(version, routes, vec![spec(service)]))
+    Ok(Catalog::new(CatalogParts {
+        version,
+        routes,
+        services: vec![spec(service)],
+        ..CatalogParts::default()
+    }))
 }
 
 fn read_registration(key: &str, value: &Bytes) -> Result<Registration, String> {
     let text = String::from_utf8_lossy(value).into_owned();
     let words: Vec<&str> = text.split(' ').collect();
-    let [service, domain, state, cold, _sequence] = words[..] else {
-        return Err("not five words".to_owned());
+    let (service, domain, state, cold, born) = match words[..] {
+        [service, domain, state, cold, _sequence] => (service, domain, state, cold, None),
+        [service, domain, state, cold, _sequence, born] => {
+            (service, domain, state, cold, Some(born))
+        }
+        _ => return Err("not five or six words".to_owned()),
     };
     let mut reg = registration(key.trim_start_matches("server/"), domain);
     reg.service = service.into();
     reg.leaving = state == "leaving";
     reg.cold_left = Millis(cold.parse().map_err(|_| "no time")?);
+    let born = born.map(str::parse).transpose();
+    reg.born = born.map_err(|_| "no start")?.map(Millis);
     Ok(reg)
 }
 
--- a/crates/edge/tests/world.rs
+++ b/crates/edge/tests/world.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use support::{TestClock, delete, entry, put, world};
+use heatherknot_types::prelude::*;
+use support::{TestClock, delete, entry, entry_of_run, put, world};
 
 fn version(world: &heatherknot_edge::world::World) -> Option<u64> {
     world.catalog().map(|catalog| catalog.version)
@@ -89,12 +90,15 @@
 
 #[test]
 fn routes_are_chosen_by_host_and_longest_prefix() {
-    use heatherknot_edge::catalog::Catalog;
+    use heatherknot_edge::catalog::{Catalog, CatalogParts};
     let routes = vec![
         support::route("a.example", "/", "all"),
         support::route("a.example", "/shots/", "shots"),
     ];
-    let catalog = Catalog::new(1, routes, Vec::new());
+    let catalog = Catalog::new(CatalogParts {
+        routes,
+        ..CatalogParts::default()
+    });
     let service = |host: &str, path: &str| {
         let route = catalog.route(host, path);
         route.map(|route| route.targets[0].service.to_string())
@@ -103,3 +107,74 @@
     assert_eq!(service("a.example:80", "/shotsx").as_deref(), Some("all"));
     assert_eq!(service("b.example", "/shots/1"), None);
 }
+
+/// Story: a server crashes and starts again under its identifier, cold. The VM takes the new
+/// run for the old one, which was warm and kept objects, and sends it the load under which a
+/// cold server crashes; or a late word of the old run brings that run back.
+#[test]
+fn a_server_that_starts_again_under_its_identifier_is_another_run() {
+    let test = TestClock::default();
+    let clock = test.clock();
+    let mut world = world(&clock);
+    let service = "gallery".into();
+    world.take(&[put("server/a", entry_of_run(100, "ready", 0), 1)], true);
+    let old = world.upstreams(&service)[0].clone();
+    let _at_old = old.begin();
+    old.note_answer(7, Some(1.0), clock.now());
+
+    let again = put("server/a", entry_of_run(200, "ready", 3_000), 2);
+    assert!(world.matters(&again), "other VMs wait for it too");
+    world.take(&[again], true);
+
+    let new = world.upstreams(&service)[0].clone();
+    assert!(!old.takes_requests(), "sends to the old run are over");
+    assert!(new.takes_requests() && new.is_cold(clock.now()));
+    assert!(!new.keeps(7, clock.now()));
+    assert_eq!(new.in_flight(), 0);
+    world.take(&[put("server/a", entry_of_run(100, "leaving", 0), 3)], true);
+    let kept = world.upstreams(&service)[0].clone();
+    assert_eq!(kept.born, Some(Millis(200)));
+    assert!(
+        kept.takes_requests(),
+        "a late word of the old run is passed over"
+    );
+}
+
+/// Story: the new run's entry has vanished, and a word of the run before it arrives. Requests
+/// would go to a server that ended two runs ago.
+#[test]
+fn a_word_of_an_ended_run_names_no_server() {
+    let clock = TestClock::default().clock();
+    let mut world = world(&clock);
+    world.take(&[put("server/a", entry_of_run(200, "ready", 0), 1)], true);
+    world.take(&[delete("server/a", 2)], true);
+    world.take(&[put("server/a", entry_of_run(100, "ready", 0), 3)], true);
+    assert!(world.upstreams(&"gallery".into()).is_empty());
+    world.take(&[put("server/a", entry_of_run(200, "ready", 0), 4)], true);
+    assert_eq!(world.upstreams(&"gallery".into()).len(), 1);
+}
+
+/// Story: somebody else writes over a server's entry. The server was known, so requests went on
+/// to it for as long as nobody wrote again, and it had left long since.
+#[test]
+fn an_entry_that_cannot_be_read_any_more_names_no_server() {
+    let clock = TestClock::default().clock();
+    let mut world = world(&clock);
+    let service = "gallery".into();
+    world.take(&[put("server/a", entry_of_run(100, "ready", 0), 1)], true);
+    world.take(&[put("server/b", entry("ready", 0, 1), 2)], true);
+    for damaged in [&b"\xff\xfe"[..], b"{}", b""] {
+        world.take(&[put("server/a", damaged, 3)], true);
+        let left = world.upstreams(&service);
+        assert_eq!(left.len(), 1, "the others hold");
+        assert_eq!(left[0].id.as_str(), "b");
+    }
+    world.take(&[put("server/a", entry("ready", 0, 2), 4)], true);
+    assert_eq!(
+        world.upstreams(&service).len(),
+        1,
+        "an entry without its start"
+    );
+    world.take(&[put("server/a", entry_of_run(100, "ready", 0), 5)], true);
+    assert_eq!(world.upstreams(&service).len(), 2);
+}
