Handle requests sent ahead on a connection side by side

Change: a request without a body that may run more than once is handled while an earlier one of its connection is, at most 8 beside the first; answers keep the order. What may run once waits, since a caller sends again what stands behind a connection that closed.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -93,13 +93,24 @@
     Body(BodyError),
 }
 
+/// Says whether a request may be handled while an earlier one of its connection is: one that
+/// may run more than once.
+pub(crate) fn may_go_ahead(cx: &EdgeContext, head: &RequestHead) -> bool {
+    let catalog = cx.world.borrow().catalog().cloned();
+    catalog.is_some_and(|catalog| route_of(&catalog, head).is_some_and(|r| r.idempotent))
+}
+
+fn route_of<'a>(catalog: &'a Catalog, head: &RequestHead) -> Option<&'a Arc<Route>> {
+    let host = head.headers.get(HOST).and_then(|v| v.to_str().ok());
+    catalog.route(host.unwrap_or(""), head.path())
+}
+
 /// Finds the route of a request and reads its body, where that is short.
 pub(crate) async fn admit(cx: &EdgeContext, req: Request) -> Result<Call, Unroutable> {
     let started = cx.now();
     let catalog = cx.world.borrow().catalog().cloned();
     let catalog = catalog.ok_or(Unroutable::NoCatalog)?;
-    let host = req.head.headers.get(HOST).and_then(|v| v.to_str().ok());
-    let route = catalog.route(host.unwrap_or(""), req.head.path()).cloned();
+    let route = route_of(&catalog, &req.head).cloned();
     let route = route.ok_or_else(|| match catalog.hides_routes() {
         true => Unroutable::UnreadRoute,
         false => Unroutable::NoRoute,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use heatherknot_http::{Flag, Handler, Limits, LivenessOptions, PoolConfig, Response, serve};
+use heatherknot_http::{
+    AheadRule, Flag, Handler, Limits, LivenessOptions, PoolConfig, Response, serve,
+};
 use heatherknot_peer::{
     Membership, MembershipContext, MembershipHooks, MembershipOptions, MethodTable, PeerContext,
     PeerError, PeerId, PeerNet, PeerOptions, Secret,
@@ -25,7 +27,7 @@
 use crate::presence::VmEntries;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::world::World;
-use crate::{distance, forward, lookup, peer_feed, presence, reply, spill_step, stop};
+use crate::{call, distance, forward, lookup, peer_feed, presence, reply, spill_step, stop};
 
 /// How often idle connections are looked through, and missing backend servers.
 const TICK: Millis = Millis(250);
@@ -33,6 +35,9 @@
 const TICKS_A_SWEEP: u64 = 8;
 /// When a caller may repeat a look-up that found no VM.
 const LOOKUP_RETURN: Millis = Millis(300);
+/// Requests of one connection that are handled beside its first one. Their answers wait in
+/// memory for the one before them, 64 KB each at most, so half a megabyte a connection.
+const MOST_AHEAD: usize = 8;
 /// The longest message between daemons: the copy of the store's keys of a whole deployment.
 const MAX_PEER_MESSAGE: usize = 4 << 20;
 
@@ -98,7 +103,7 @@
     let metrics = listen("metrics", listen_at.metrics)?;
     let cx = make_context(cfg, platform)?;
     spawn_tasks(&cx);
-    let limits = request_limits(&cx.bounds);
+    let limits = request_limits(&cx);
     let serving = monoio::spawn(serve(
         requests,
         request_handler(&cx),
@@ -268,9 +273,14 @@
     }
 }
 
-fn request_limits(bounds: &Bounds) -> Limits {
-    let finishing = stop::finishing_time(bounds.grace);
+fn request_limits(cx: &Rc<EdgeContext>) -> Limits {
+    let finishing = stop::finishing_time(cx.bounds.grace);
+    let caller_cx = Rc::clone(cx);
     Limits {
+        ahead: Some(AheadRule {
+            most: MOST_AHEAD,
+            may: Rc::new(move |head| call::may_go_ahead(&caller_cx, head)),
+        }),
         stop_grace: Duration::from_millis(finishing.0),
         ..Limits::default()
     }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,5 +1,6 @@
-//! One connection of a caller: its requests are read, handled and answered in order.
+//! One connection of a caller: its requests are read, handled, and answered in order.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -8,22 +9,23 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{Either, Fuse, LocalBoxFuture, select};
-use http::{HeaderName, HeaderValue, Method, StatusCode};
+use http::{HeaderName, HeaderValue, StatusCode};
 use monoio::io::{AsyncReadRent, Splitable};
 use monoio::net::TcpStream;
 
 use heatherknot_types::outcome::OUTCOME_HEADER;
 use heatherknot_types::prelude::*;
 
+use crate::ahead::{self, AheadQueue, Handled};
 use crate::body::Body;
-use crate::decode::{self, ParsedRequest};
+use crate::decode::ParsedRequest;
 use crate::encode;
 use crate::flag::Flag;
 use crate::head::{self, HeadError};
 use crate::headers::strip_hop_by_hop;
 use crate::incoming::{BodyLimits, Framing, IncomingBody};
 use crate::loan::{Loan, Slot};
-use crate::message::{Request, Response};
+use crate::message::Response;
 use crate::reader::{CALLER_READ, HEAD_READ, ReadError, Reader};
 use crate::server::ServerContext;
 use crate::timeout::within;
@@ -52,6 +54,7 @@
     let mut connection = Connection {
         slot: Slot::Here(Reader::new(read)),
         writer: Writer::new(write, cx.limits.write_timeout),
+        ahead: AheadQueue::new(Rc::clone(&cx), peer),
         peer,
         cx,
     };
@@ -67,45 +70,64 @@
 struct Connection {
     slot: Slot,
     writer: Writer,
+    ahead: AheadQueue,
     peer: SocketAddr,
     cx: Rc<ServerContext>,
 }
 
 impl Connection {
     async fn serve_one(&mut self) -> Next {
+        if let Some(handled) = self.ahead.pop() {
+            return Box::pin(self.answer(handled)).await;
+        }
         let Slot::Here(reader) = &mut self.slot else {
             return Next::Close;
         };
-        match read_request(reader, &mut self.writer, &self.cx).await {
+        let read = match self.ahead.take_next() {
+            Some(read) => read.map(Some),
+            None => read_request(reader, &mut self.writer, &self.cx).await,
+        };
+        match read {
             // The state of an answer is kept apart from that of the connection, which is
             // idle most of its life.
-            Ok(Some(parsed)) => Box::pin(self.answer(parsed)).await,
+            Ok(Some(parsed)) => Box::pin(self.begin(parsed)).await,
             Ok(None) => Next::Cut,
             Err(error) => Box::pin(self.refuse(error)).await,
         }
     }
 
-    async fn answer(&mut self, parsed: ParsedRequest) -> Next {
-        let is_head = parsed.head.method == Method::HEAD;
+    async fn begin(&mut self, parsed: ParsedRequest) -> Next {
         if parsed.expects_continue && parsed.framing != Framing::Length(0) {
             self.writer.out.extend_from_slice(INTERIM);
             if self.writer.flush().await.is_err() {
                 return Next::Cut;
             }
         }
-        let cancelled = Flag::new();
-        let request = Request {
-            head: parsed.head,
-            body: self.request_body(parsed.framing),
-            peer: self.peer,
-            cancelled: cancelled.clone(),
-        };
-        let handling = (self.cx.handler)(request);
-        let stop = &self.cx.stop;
+        let body = self.request_body(parsed.framing);
+        let handled = Handled::begin(&self.cx, parsed, body, self.peer);
+        self.answer(handled).await
+    }
+
+    async fn answer(&mut self, handled: Handled) -> Next {
+        let Handled {
+            response: handling,
+            cancelled,
+            is_head,
+            close: asked_to_close,
+        } = handled;
         let (written, close) = {
-            let mut gone = pin!(self.slot.caller_gone().fuse());
+            let ahead = (!asked_to_close).then_some(&mut self.ahead);
+            let stop = &self.cx.stop;
+            let ahead = RefCell::new(ahead);
+            let take = |reader: &mut Reader| {
+                let mut ahead = ahead.borrow_mut();
+                ahead.iter_mut().for_each(|ahead| ahead.take_from(reader));
+            };
+            let mut gone = pin!(self.slot.caller_gone(take).fuse());
             let response = handle(handling, gone.as_mut(), &cancelled).await;
-            let close = parsed.close || stop.is_fired();
+            // What is being handled behind it is answered before the connection closes.
+            let is_last = ahead.borrow().as_ref().is_none_or(|ahead| ahead.is_empty());
+            let close = asked_to_close || (stop.is_fired() && is_last);
             let written = write_response(&mut self.writer, response, is_head, close, gone).await;
             (written, close)
         };
@@ -203,13 +225,7 @@
             }
         }
     };
-    let parsed = decode::request(&mut reader.buf, len, limits.kept_headers)?;
-    match parsed.framing {
-        Framing::Length(len) if len > limits.max_body_bytes => Err(HeadError::BodyTooLarge {
-            limit: limits.max_body_bytes,
-        }),
-        _ => Ok(Some(parsed)),
-    }
+    ahead::take_head(reader, len, limits).map(Some)
 }
 
 /// Waits for the first bytes of a request; says whether there are any.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! sends requests to one backend server or peer. Bodies stream both ways in chunks, and a
 //! body is read from its connection only as fast as it is asked for.
 
+mod ahead;
 mod body;
 mod connection;
 mod decode;
@@ -26,6 +27,7 @@
 mod timeout;
 mod writer;
 
+pub use ahead::{AheadRule, MayGoAhead};
 pub use body::{Body, BodyError, BodySender, ReaderGone};
 pub use flag::{Flag, Wait};
 pub use head::HeadError;
--- a/crates/http/src/loan.rs
+++ b/crates/http/src/loan.rs
@@ -86,7 +86,9 @@
     /// Nothing tells of a disconnection but the connection itself: its end can be read, or
     /// the system knows of it while bytes before it are unread. Reading ahead finds the
     /// first; where no further byte may be read, the second is looked for now and then.
-    pub(crate) async fn caller_gone(&mut self) {
+    ///
+    /// `take` gets the reader after each read ahead, to take whole requests out of it.
+    pub(crate) async fn caller_gone(&mut self, take: impl Fn(&mut Reader)) {
         if let Slot::Lent(loan) = self {
             let loan = Rc::clone(loan);
             if !loan.wait().await {
@@ -95,7 +97,7 @@
             self.take_back();
         }
         match self {
-            Slot::Here(reader) => read_ahead(reader).await,
+            Slot::Here(reader) => read_ahead(reader, take).await,
             Slot::Unread(reader, _) => hung_up(&reader.probe()).await,
             Slot::Lent(_) | Slot::Gone => pending().await,
         }
@@ -117,11 +119,12 @@
     }
 }
 
-async fn read_ahead(reader: &mut Reader) {
+async fn read_ahead(reader: &mut Reader, take: impl Fn(&mut Reader)) {
+    take(reader);
     while reader.buf.len() < READ_AHEAD {
         match reader.fill(CALLER_READ).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) => take(reader),
         }
     }
     hung_up(&reader.probe()).await;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,6 +10,7 @@
 use monoio::net::{TcpListener, TcpStream};
 use std::pin::pin;
 
+use crate::ahead::AheadRule;
 use crate::connection;
 use crate::flag::Flag;
 use crate::headers::CALLER_HEADERS;
@@ -55,6 +56,9 @@
     pub stop_grace: Duration,
     /// The system's own request headers that callers may set; others are removed.
     pub kept_headers: &'static [&'static str],
+    /// Which requests are handled while an earlier one of their connection is; none where
+    /// each is to wait for the one before it.
+    pub ahead: Option<AheadRule>,
     /// How the operating system looks for callers that are gone without a word.
     pub liveness: LivenessOptions,
 }
@@ -74,6 +78,7 @@
             stop_idle: Duration::from_millis(500),
             stop_grace: Duration::from_secs(30),
             kept_headers: CALLER_HEADERS,
+            ahead: None,
             liveness: LivenessOptions {
                 user_timeout: Duration::from_secs(20),
                 keepalive: Duration::from_secs(30),
