Set the part of objects sent away at once until the first caller comes

Cause: a daemon that starts hears of routes before it hears of servers. They were warmed far away, and once more near their callers later.

--- a/crates/edge/src/spill.rs
+++ b/crates/edge/src/spill.rs
@@ -51,6 +51,8 @@
 #[derive(Debug, Default)]
 pub struct Spill {
     part: Cell<Option<f64>>,
+    /// Whether a request has gone by the threshold.
+    is_used: Cell<bool>,
     learned: Cell<f64>,
     own: Ewma,
     elsewhere: Ewma,
@@ -71,11 +73,17 @@
 
     /// Says whether another region serves an object.
     pub fn is_away(&self, object: u64) -> bool {
+        self.is_used.set(true);
         let at = hash::rendezvous(&[&object.to_le_bytes()], "away");
         hash::unit_interval(at) < self.part()
     }
 
     /// Moves the threshold for the time since it was moved last.
+    ///
+    /// Until the first request goes by it, it is where it should be at once. A VM that starts
+    /// hears of routes before it hears of servers: with none in its region it would send
+    /// everything away, and take 25 s to come back from there. On days that begin so, objects
+    /// were served far off and then warmed once more near their callers.
     pub fn step(&self, room: Room, now: Millis) {
         let elapsed = now.since(self.moved.replace(now)).as_secs_f64().min(1.0);
         let most = MOST_A_SECOND * elapsed;
@@ -85,7 +93,9 @@
         // What can't be followed is not to be wound up.
         self.learned.set(goal - room.part_away());
         let next = match self.part.get() {
-            Some(part) if room.own > 0.0 => part + (goal - part).clamp(-most, most),
+            Some(part) if room.own > 0.0 && self.is_used.get() => {
+                part + (goal - part).clamp(-most, most)
+            }
             _ => goal,
         };
         self.part.set(Some(next));
