--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -165,7 +165,8 @@
     }
     if response.status.is_success() {
         if let Some(bytes) = response.body.known_len() {
-            cx.route(&call.route.name).note_answer(bytes);
+            cx.route(&call.route.name)
+                .note_bytes(bytes + call.body.len());
         }
         learn(cx, call, prospect, cx.now().since(sent));
     }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -46,14 +46,30 @@
     /// All of it is here.
     Whole(Bytes),
     /// It is read while it is sent, so it can be sent once only.
-    Once(Option<Body>),
+    Once {
+        /// The body until it is sent.
+        body: Option<Body>,
+        /// Its bytes; zero where they were not told.
+        len: u64,
+    },
 }
 
 impl HeldBody {
     async fn hold(body: Body) -> Result<Self, BodyError> {
         match body.known_len() {
             Some(len) if len <= HELD_BODY as u64 => Ok(Self::Whole(body.collect(HELD_BODY).await?)),
-            _ => Ok(Self::Once(Some(body))),
+            len => Ok(Self::Once {
+                body: Some(body),
+                len: len.unwrap_or(0),
+            }),
+        }
+    }
+
+    /// Gives the bytes that are held, or were known to come.
+    pub(crate) fn len(&self) -> u64 {
+        match self {
+            HeldBody::Whole(bytes) => bytes.len() as u64,
+            HeldBody::Once { len, .. } => *len,
         }
     }
 
@@ -61,7 +77,7 @@
     pub(crate) fn take(&mut self) -> Option<Body> {
         match self {
             HeldBody::Whole(bytes) => Some(Body::full(bytes.clone())),
-            HeldBody::Once(body) => body.take(),
+            HeldBody::Once { body, .. } => body.take(),
         }
     }
 }
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -2,10 +2,10 @@
 //!
 //! One copy of an object in the whole system keeps servers warm best: callers that move to
 //! another region find their objects warm, and every server can take its part of the load.
-//! It costs the way there, in time and in bytes. So small answers are served anywhere where
-//! the way is short beside the latency target, others in the caller's region, and large ones
-//! in the caller's own failure domain where each object is asked for often enough there to
-//! stay warm.
+//! It costs the way there, in time and in bytes. So requests with little to carry are served
+//! anywhere where the way is short beside the latency target, others in the caller's region, and
+//! those with large bodies or answers in the caller's own failure domain where each object is
+//! asked for often enough there to stay warm.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -19,15 +19,15 @@
 /// The longest way to another region and back, as a part of the latency target, for objects
 /// that are served anywhere. What is left must do for the work and some waiting.
 const SHORT_WAY: f64 = 0.25;
-/// Bytes of an answer from which it counts as large: its transfer then costs more than the
-/// work that a second copy of its object takes.
-const LARGE_ANSWER: f64 = 32_000.0;
+/// Bytes of a request's body and its answer together from which they count as large: their
+/// transfer then costs more than the work that a second copy of the object takes.
+const LARGE: f64 = 32_000.0;
 /// Requests a second for one object in one domain from which it stays warm there.
 const OFTEN: f64 = 0.25;
 /// How much of a route's objects changes its reach in a second at most. Callers' requests may
 /// not be moved from one region to another all at once.
 const MOST_A_SECOND: f64 = 0.04;
-/// The weight of one answer in the usual size.
+/// The weight of one request in the usual size.
 const SIZE_PART: f64 = 0.1;
 /// The span over which requests are counted.
 const RATE_SPAN: Millis = Millis(10_000);
@@ -76,8 +76,8 @@
     pub round_trip: Option<Millis>,
     /// The latency target.
     pub target: Millis,
-    /// Whether the answers are known to be large before one was seen.
-    pub large_answers: bool,
+    /// Whether the bodies or the answers are known to be large before one was seen.
+    pub large: bool,
     /// The VMs of this domain, which share its callers.
     pub vms_here: usize,
 }
@@ -92,8 +92,9 @@
         }
     }
 
-    /// Takes in the size of an answer.
-    pub fn note_answer(&self, bytes: u64) {
+    /// Takes in the bytes of a request's body and its answer together. Both take the same way: a
+    /// body of 60 KB whose answer has 1.5 KB costs as much far off as an answer of that size.
+    pub fn note_bytes(&self, bytes: u64) {
         self.size.add(bytes as f64, SIZE_PART);
     }
 
@@ -114,8 +115,8 @@
         let elapsed = now.since(self.moved.replace(now)).as_secs_f64().min(1.0);
         let most = MOST_A_SECOND * elapsed;
         let large = match self.size.get() {
-            Some(size) => size >= LARGE_ANSWER,
-            None => distance.large_answers,
+            Some(size) => size >= LARGE,
+            None => distance.large,
         };
         let Some(round_trip) = distance.round_trip else {
             return;
--- a/crates/edge/src/spill_step.rs
+++ b/crates/edge/src/spill_step.rs
@@ -27,7 +27,7 @@
         let distance = Distance {
             round_trip: cx.distances.round_trip(),
             target: route.latency_target,
-            large_answers: route.large_answers,
+            large: route.large_answers || route.large_bodies,
             vms_here,
         };
         cx.route(&route.name).step(distance, now);
