--- a/crates/edge/src/distance.rs
+++ b/crates/edge/src/distance.rs
@@ -14,9 +14,13 @@
 
 /// The method that answers at once.
 const PING: &str = "e.ping";
-/// The pause between two measurements before one has succeeded, and after.
+/// The pause between two measurements while there are few, and after.
 const FIRST_PAUSE: Millis = Millis(500);
 const PAUSE: Millis = Millis(10_000);
+/// The measurements of a region after which its way counts as known. While everything starts, one
+/// takes up to a quarter longer than the way; VMs that took that for the way would decide
+/// otherwise than their neighbours where objects are served.
+const ENOUGH: u32 = 4;
 /// The time allowed for an answer.
 const LIMIT: Millis = Millis(1_500);
 
@@ -24,7 +28,7 @@
 #[derive(Debug, Default)]
 pub struct Distances {
     shortest: RefCell<BTreeMap<RegionName, Millis>>,
-    measured: Cell<bool>,
+    measured: Cell<u32>,
 }
 
 impl Distances {
@@ -38,7 +42,7 @@
         let mut shortest = self.shortest.borrow_mut();
         let known = shortest.entry(region.clone()).or_insert(took);
         *known = took.min(*known);
-        self.measured.set(true);
+        self.measured.set(self.measured.get().saturating_add(1));
     }
 }
 
@@ -50,11 +54,9 @@
 /// Measures the ways to other regions for as long as the process runs.
 pub async fn run(cx: Rc<EdgeContext>) {
     loop {
-        let pause = if cx.distances.measured.get() {
-            PAUSE
-        } else {
-            FIRST_PAUSE
-        };
+        let regions = cx.distances.shortest.borrow().len() as u32;
+        let is_known = regions > 0 && cx.distances.measured.get() >= ENOUGH * regions;
+        let pause = if is_known { PAUSE } else { FIRST_PAUSE };
         cx.timer.wait(pause).await;
         for (region, vm) in one_of_each(&cx) {
             measure(&cx, &region, &vm).await;
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -18,7 +18,7 @@
 
 /// The longest way to another region and back, as a part of the latency target, for objects
 /// that are served anywhere. What is left must do for the work and some waiting.
-const SHORT_WAY: f64 = 0.25;
+const SHORT_WAY: f64 = 0.2;
 /// Bytes of a request's body and its answer together from which they count as large: their
 /// transfer then costs more than the work that a second copy of the object takes.
 const LARGE: f64 = 32_000.0;
@@ -54,6 +54,8 @@
     regional: Cell<Option<f64>>,
     in_domain: Cell<f64>,
     moved: Cell<Millis>,
+    /// Whether a request has gone by it.
+    is_used: Cell<bool>,
 }
 
 impl Default for RouteReach {
@@ -65,6 +67,7 @@
             regional: Cell::new(None),
             in_domain: Cell::new(0.0),
             moved: Cell::new(Millis(0)),
+            is_used: Cell::new(false),
         }
     }
 }
@@ -100,6 +103,7 @@
 
     /// Gives where an object is served.
     pub fn of(&self, object: u64) -> Reach {
+        self.is_used.set(true);
         let draw = |salt| hash::unit_interval(hash::rendezvous(&[&object.to_le_bytes()], salt));
         if draw("domain") < self.in_domain.get() {
             return Reach::Domain;
@@ -111,6 +115,10 @@
     }
 
     /// Moves the route's reach for the time since it was moved last.
+    ///
+    /// Until the first request goes by it, it is where it should be at once: the first measurement
+    /// of a way, made while everything starts, may be too long by a quarter, and objects would be
+    /// moved from where that had put them for the next 25 s.
     pub fn step(&self, distance: Distance, now: Millis) {
         let elapsed = now.since(self.moved.replace(now)).as_secs_f64().min(1.0);
         let most = MOST_A_SECOND * elapsed;
@@ -124,8 +132,8 @@
         let is_far = round_trip.0 as f64 > distance.target.0 as f64 * SHORT_WAY;
         let goal = if is_far || large { 1.0 } else { 0.0 };
         let next = match self.regional.get() {
-            Some(part) => part + (goal - part).clamp(-most, most),
-            None => goal,
+            Some(part) if self.is_used.get() => part + (goal - part).clamp(-most, most),
+            _ => goal,
         };
         self.regional.set(Some(next));
         let stays = large && next >= 1.0 && self.rate_here(distance.vms_here, now) >= OFTEN;
