Keep long request bodies to send them again, within a bound that is a setting

Change: what is read of a body while it is sent is kept until the request is answered, 32 MB in all (kept_bodies_mb); beyond that it can be sent once, as before. A body that broke is never sent again. Long bodies still go out as they come: held first, a slow link would be waited for twice.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -60,7 +60,7 @@
 /// Sends a request to the backend server of `prospect`.
 pub(crate) async fn send(cx: &EdgeContext, call: &mut Call, prospect: &Prospect) -> Attempt {
     let Some(body) = call.body.take() else {
-        return Attempt::NotSent("its body was sent before");
+        return Attempt::NotSent("its body can't be sent again");
     };
     let cancelled = call.cancelled.wait();
     let call = &*call;
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use heatherknot_http::{Body, BodyError, Flag, Request, RequestHead};
+use heatherknot_http::{Body, BodyError, Flag, KeepRoom, KeptBody, Request, RequestHead};
 use heatherknot_types::hash;
 use heatherknot_types::prelude::*;
 use http::header::HOST;
@@ -12,7 +12,8 @@
 use crate::catalog::{Catalog, Route};
 use crate::context::{EdgeContext, ServiceState};
 
-/// The longest request body that is held in memory, so that it can be sent a second time.
+/// The longest request body that is read whole before it is sent. Longer ones are sent as they
+/// come, so that a slow link is not waited for twice.
 const HELD_BODY: usize = 64 * 1024;
 /// The time for a request whose caller states none.
 const DEFAULT_TIME: Millis = Millis(30_000);
@@ -45,39 +46,39 @@
 pub(crate) enum HeldBody {
     /// All of it is here.
     Whole(Bytes),
-    /// It is read while it is sent, so it can be sent once only.
-    Once {
-        /// The body until it is sent.
-        body: Option<Body>,
-        /// Its bytes; zero where they were not told.
-        len: u64,
-    },
+    /// It is read while it is sent. It can be sent again as far as there is memory for it.
+    Kept(KeptBody),
 }
 
 impl HeldBody {
-    async fn hold(body: Body) -> Result<Self, BodyError> {
+    async fn hold(body: Body, room: &Rc<KeepRoom>) -> Result<Self, BodyError> {
         match body.known_len() {
             Some(len) if len <= HELD_BODY as u64 => Ok(Self::Whole(body.collect(HELD_BODY).await?)),
-            len => Ok(Self::Once {
-                body: Some(body),
-                len: len.unwrap_or(0),
-            }),
+            _ => Ok(Self::Kept(KeptBody::new(body, room))),
         }
     }
 
-    /// Gives the bytes that are held, or were known to come.
+    /// Gives the bytes of the whole body; zero where they were not told.
     pub(crate) fn len(&self) -> u64 {
         match self {
             HeldBody::Whole(bytes) => bytes.len() as u64,
-            HeldBody::Once { len, .. } => *len,
+            HeldBody::Kept(kept) => kept.known_len().unwrap_or(0),
         }
     }
 
-    /// Gives the body for one send, or nothing where it was sent before.
-    pub(crate) fn take(&mut self) -> Option<Body> {
+    /// Says whether it can be sent, or sent once more.
+    pub(crate) fn is_there(&self) -> bool {
+        match self {
+            HeldBody::Whole(_) => true,
+            HeldBody::Kept(kept) => kept.is_there(),
+        }
+    }
+
+    /// Gives the body for one send, or nothing where it can't be sent once more.
+    pub(crate) fn take(&self) -> Option<Body> {
         match self {
             HeldBody::Whole(bytes) => Some(Body::full(bytes.clone())),
-            HeldBody::Once { body, .. } => body.take(),
+            HeldBody::Kept(kept) => kept.take(),
         }
     }
 }
@@ -151,7 +152,9 @@
     let patience = stated.map_or(DEFAULT_TIME, Millis).min(route.timeout);
     let object = object_of(cx, &req.head);
     cx.route(&route.name).note_request(object, started);
-    let body = HeldBody::hold(req.body).await.map_err(Unroutable::Body)?;
+    let body = HeldBody::hold(req.body, &cx.kept_bodies)
+        .await
+        .map_err(Unroutable::Body)?;
     Ok(Call {
         route,
         catalog,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use heatherknot_http::Flag;
+use heatherknot_http::{Flag, KeepRoom};
 use heatherknot_peer::{Membership, PeerNet};
 use heatherknot_store::port::Store;
 use heatherknot_types::prelude::*;
@@ -71,6 +71,8 @@
     pub splits: RefCell<HashMap<Arc<str>, Split>>,
     /// What is learned of each route, by its name.
     pub routes: RefCell<HashMap<Arc<str>, Rc<RouteReach>>>,
+    /// The memory for long request bodies that may have to be sent again.
+    pub kept_bodies: Rc<KeepRoom>,
     /// How far other regions are.
     pub distances: Distances,
     /// Metrics.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use heatherknot_http::{
-    AheadRule, Flag, Handler, Limits, LivenessOptions, PoolConfig, Response, serve,
+    AheadRule, Flag, Handler, KeepRoom, Limits, LivenessOptions, PoolConfig, Response, serve,
 };
 use heatherknot_peer::{
     Membership, MembershipContext, MembershipHooks, MembershipOptions, MethodTable, PeerContext,
@@ -185,6 +185,7 @@
         services: RefCell::default(),
         splits: RefCell::default(),
         routes: RefCell::default(),
+        kept_bodies: KeepRoom::new(cfg.kept_bodies_bytes()),
         distances: Distances::default(),
         metrics,
         registry,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -61,7 +61,7 @@
 }
 
 async fn serve(cx: &EdgeContext, call: &mut Call, tries: &mut Tries) -> Response {
-    loop {
+    while call.body.is_there() {
         let prospect = match pick::pick(cx, call, &tries.servers) {
             Ok(prospect) => prospect,
             Err(refusal) => return give_up(cx, call, tries, &refusal),
@@ -105,9 +105,10 @@
             }
         }
         if tries.may_have_run > 0 && !call.route.idempotent {
-            return give_up(cx, call, tries, &Refusal::out_of_tries());
+            break;
         }
     }
+    give_up(cx, call, tries, &Refusal::out_of_tries())
 }
 
 impl Tries {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -30,6 +30,10 @@
     /// What this VM's link carries each way, in megabits a second, where it is known.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// The memory, in megabytes, for long request bodies that may have to be sent again. Bodies
+    /// beyond it can be sent once only.
+    #[serde(default = "default_kept_bodies_mb")]
+    pub kept_bodies_mb: u32,
     /// The bounds that the deployment states.
     #[serde(default)]
     pub bounds: StatedBounds,
@@ -42,6 +46,18 @@
     "info".to_owned()
 }
 
+/// An eighth of the memory of a VM of 256 MB: 90 bodies of 360 KB at once.
+fn default_kept_bodies_mb() -> u32 {
+    32
+}
+
+impl EdgeConfig {
+    /// Gives the memory for long request bodies, in bytes.
+    pub fn kept_bodies_bytes(&self) -> u64 {
+        u64::from(self.kept_bodies_mb) * 1024 * 1024
+    }
+}
+
 /// The addresses that a daemon listens on.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -14,6 +14,7 @@
 
 use crate::duplex::Duplex;
 use crate::incoming::IncomingBody;
+use crate::kept::KeptReader;
 
 /// Chunks that a [`BodySender`] may be ahead of its [`Body`].
 const CHANNEL_CHUNKS: usize = 4;
@@ -77,6 +78,7 @@
     Channel(Receiver),
     Incoming(Box<IncomingBody>),
     Duplex(Box<Duplex>),
+    Kept(Box<KeptReader>),
 }
 
 impl Body {
@@ -132,6 +134,13 @@
         }
     }
 
+    pub(crate) fn kept(reader: KeptReader) -> Self {
+        Self {
+            source: Source::Kept(Box::new(reader)),
+            guard: None,
+        }
+    }
+
     /// Keeps `guard` until the body is dropped.
     pub fn with_guard(mut self, guard: impl Any) -> Self {
         self.guard = Some(Box::new(guard));
@@ -146,6 +155,7 @@
             Source::Channel(receiver) => receiver.left,
             Source::Incoming(incoming) => incoming.known_len(),
             Source::Duplex(duplex) => duplex.incoming.known_len(),
+            Source::Kept(reader) => reader.known_len(),
         }
     }
 
@@ -161,6 +171,7 @@
         match &mut self.source {
             Source::Incoming(incoming) => incoming.limit(max),
             Source::Duplex(duplex) => duplex.incoming.limit(max),
+            Source::Kept(reader) => reader.limit(max),
             Source::Empty | Source::Full(_) | Source::Channel(_) => {}
         }
     }
@@ -181,6 +192,7 @@
             Source::Channel(receiver) => receiver.next_chunk().await,
             Source::Incoming(incoming) => incoming.next_chunk().await,
             Source::Duplex(duplex) => duplex.next_chunk().await,
+            Source::Kept(reader) => reader.next_chunk().await,
         }
     }
 
@@ -229,6 +241,7 @@
             Source::Channel(_) => "channel",
             Source::Incoming(_) => "incoming",
             Source::Duplex(_) => "duplex",
+            Source::Kept(_) => "kept",
         };
         write!(f, "Body({kind}, {:?})", self.known_len())
     }
--- /dev/null
+++ b/crates/http/src/kept.rs
@@ -0,0 +1,179 @@
+//! Long request bodies that can be sent more than once.
+//!
+//! A peer may refuse a request that it has not run, or not be there, after a part of the body
+//! has gone out. Read while it is sent, the body is gone then, and so is the request. Here what
+//! was read is kept until the request is answered, as far as there is memory for it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+use crate::body::{Body, BodyError};
+
+/// The memory that all kept bodies of a process share.
+#[derive(Debug)]
+pub struct KeepRoom {
+    limit: u64,
+    used: Cell<u64>,
+}
+
+impl KeepRoom {
+    /// Makes room for `limit` bytes.
+    pub fn new(limit: u64) -> Rc<Self> {
+        Rc::new(Self {
+            limit,
+            used: Cell::new(0),
+        })
+    }
+
+    /// Gives the bytes that are kept.
+    pub fn used(&self) -> u64 {
+        self.used.get()
+    }
+
+    fn take(&self, bytes: u64) -> bool {
+        let used = self.used.get() + bytes;
+        let fits = used <= self.limit;
+        if fits {
+            self.used.set(used);
+        }
+        fits
+    }
+
+    fn give_back(&self, bytes: u64) {
+        self.used.set(self.used.get() - bytes);
+    }
+}
+
+/// A body that is read as it is sent, and kept to be sent again.
+pub struct KeptBody {
+    state: Rc<State>,
+    len: Option<u64>,
+}
+
+struct State {
+    room: Rc<KeepRoom>,
+    /// What was read, as long as all of it is kept.
+    chunks: RefCell<Vec<Bytes>>,
+    /// What was not read yet, while nobody reads it.
+    rest: RefCell<Option<Body>>,
+    /// Whether something that was read is not kept, or the body broke.
+    is_lost: Cell<bool>,
+}
+
+impl KeptBody {
+    /// Makes a body that keeps what is read of it in `room`.
+    pub fn new(body: Body, room: &Rc<KeepRoom>) -> Self {
+        let len = body.known_len();
+        let state = State {
+            room: Rc::clone(room),
+            chunks: RefCell::default(),
+            rest: RefCell::new(Some(body)),
+            is_lost: Cell::new(false),
+        };
+        Self {
+            state: Rc::new(state),
+            len,
+        }
+    }
+
+    /// Gives the bytes of the whole body, where that was told.
+    pub fn known_len(&self) -> Option<u64> {
+        self.len
+    }
+
+    /// Says whether the body can be sent from its first byte on.
+    pub fn is_there(&self) -> bool {
+        !self.state.is_lost.get() && self.state.rest.borrow().is_some()
+    }
+
+    /// Gives the body from its first byte on, or nothing where a part that was sent before is not
+    /// kept any more, or an earlier send still reads it.
+    pub fn take(&self) -> Option<Body> {
+        if !self.is_there() {
+            return None;
+        }
+        let rest = self.state.rest.borrow_mut().take()?;
+        Some(Body::kept(KeptReader {
+            state: Rc::clone(&self.state),
+            rest: Some(rest),
+            next: 0,
+        }))
+    }
+}
+
+impl State {
+    fn keep(&self, chunk: &Bytes) {
+        if self.is_lost.get() {
+            return;
+        }
+        if self.room.take(chunk.len() as u64) {
+            self.chunks.borrow_mut().push(chunk.clone());
+        } else {
+            self.lose();
+        }
+    }
+
+    /// Frees what is kept: without all of it, it is of no use.
+    fn lose(&self) {
+        self.is_lost.set(true);
+        let chunks = self.chunks.take();
+        self.room.give_back(chunks.iter().map(len).sum());
+    }
+}
+
+impl Drop for State {
+    fn drop(&mut self) {
+        self.lose();
+    }
+}
+
+fn len(chunk: &Bytes) -> u64 {
+    chunk.len() as u64
+}
+
+/// One reading of a kept body: first what was read before, then the rest.
+pub(crate) struct KeptReader {
+    state: Rc<State>,
+    rest: Option<Body>,
+    next: usize,
+}
+
+impl KeptReader {
+    pub(crate) fn known_len(&self) -> Option<u64> {
+        let rest = self.rest.as_ref().and_then(Body::known_len)?;
+        let chunks = self.state.chunks.borrow();
+        Some(rest + chunks.iter().skip(self.next).map(len).sum::<u64>())
+    }
+
+    pub(crate) fn limit(&mut self, max: u64) {
+        if let Some(rest) = &mut self.rest {
+            rest.limit(max);
+        }
+    }
+
+    pub(crate) async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        let kept = self.state.chunks.borrow().get(self.next).cloned();
+        if let Some(chunk) = kept {
+            self.next += 1;
+            return Some(Ok(chunk));
+        }
+        let read = Box::pin(self.rest.as_mut()?.next_chunk()).await;
+        match &read {
+            Some(Ok(chunk)) => {
+                self.state.keep(chunk);
+                self.next += 1;
+            }
+            Some(Err(_)) => self.state.lose(),
+            None => {}
+        }
+        read
+    }
+}
+
+impl Drop for KeptReader {
+    fn drop(&mut self) {
+        *self.state.rest.borrow_mut() = self.rest.take();
+    }
+}
