--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -41,6 +41,8 @@
     Replay,
     /// Tells the story of a request from logs.
     Trace,
+    /// Splits the requests that were not answered in time, from logs.
+    Losses,
 }
 
 /// How a command is written.
@@ -95,7 +97,7 @@
 }
 
 /// Every command, in the order of the help.
-pub static COMMANDS: [CommandSpec; 18] = [
+pub static COMMANDS: [CommandSpec; 19] = [
     spec(
         Command::Get,
         "get",
@@ -240,6 +242,14 @@
         TRACE,
         "Tell the story of a request from the logs of VMs.",
     ),
+    spec(
+        Command::Losses,
+        "losses",
+        "LOG...",
+        (1, MAX_LOGS),
+        &[],
+        "Say why requests were refused, failed or late, by reason, route, VM and moment, from the logs of VMs.",
+    ),
 ];
 
 impl Command {
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -2,6 +2,8 @@
 
 mod change;
 mod key;
+mod logs;
+mod losses;
 mod read;
 mod replay;
 mod report;
@@ -30,6 +32,7 @@
         Command::NewKey => return key::new(invocation),
         Command::Replay => return replay::replay(invocation),
         Command::Trace => return trace::trace(invocation),
+        Command::Losses => return losses::losses(invocation),
         _ => {}
     }
     let servers = invocation.options.servers(env.servers.as_deref())?;
--- a/crates/cli/src/ops/trace.rs
+++ b/crates/cli/src/ops/trace.rs
@@ -3,41 +3,15 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use serde_json::{Map, Value as Json, json};
-use snafu::ResultExt;
+use serde_json::{Value as Json, json};
 
-use crate::error::{CliError, FileSnafu};
+use crate::error::CliError;
 use crate::exit::Exit;
+use crate::ops::logs::{ENDED, Line, Logs, SENT};
 use crate::options::Opt;
 use crate::parse::Invocation;
 use crate::report::Report;
 
-/// The text of the line at the end of a request.
-const ENDED: &str = "request ended";
-/// The text of the line of one send.
-const SENT: &str = "request sent";
-/// The text of the line that counts lines lost to the volume's bound.
-const DROPPED: &str = "log lines were dropped";
-
-/// One line of a log.
-struct Line {
-    /// The VM, by its own word, or else the file.
-    vm: String,
-    time: String,
-    text: String,
-    fields: Map<String, Json>,
-}
-
-/// What was read of all files.
-#[derive(Default)]
-struct Logs {
-    lines: Vec<Line>,
-    /// Lines that are no JSON objects, by file.
-    unreadable: BTreeMap<String, usize>,
-    /// Lines that daemons dropped, by VM.
-    dropped: BTreeMap<String, u64>,
-}
-
 /// Tells the story of the request that the command line names.
 pub fn trace(invocation: &Invocation) -> Result<Report, CliError> {
     let [id, files @ ..] = invocation.args.as_slice() else {
@@ -45,11 +19,7 @@
             "trace needs a request's identifier and log files",
         ));
     };
-    let mut logs = Logs::default();
-    for file in files {
-        read(&mut logs, file)?;
-    }
-    logs.lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let logs = Logs::read(files)?;
     let of_request = |line: &&Line| line.fields.get("id").and_then(Json::as_str) == Some(id);
     let story: Vec<&Line> = logs.lines.iter().filter(of_request).collect();
     let missing = missing(&logs, &story);
@@ -69,52 +39,6 @@
     Ok(Report::new(exit, text, &found))
 }
 
-/// Reads one log. Its lines may have other text in front, as a collector adds it.
-fn read(logs: &mut Logs, file: &str) -> Result<(), CliError> {
-    let step = "read";
-    let text = std::fs::read_to_string(file).context(FileSnafu { step, path: file })?;
-    let mut vm = file.to_owned();
-    for line in text.lines().filter(|line| !line.trim().is_empty()) {
-        let json = line
-            .find('{')
-            .and_then(|at| serde_json::from_str::<Json>(&line[at..]).ok());
-        let Some(Json::Object(mut object)) = json else {
-            *logs.unreadable.entry(file.to_owned()).or_default() += 1;
-            continue;
-        };
-        let fields = match object.remove("kv") {
-            Some(Json::Object(fields)) => fields,
-            _ => Map::new(),
-        };
-        let word = |key: &str| {
-            object
-                .get(key)
-                .and_then(Json::as_str)
-                .unwrap_or("")
-                .to_owned()
-        };
-        let (time, text) = (word("timestamp"), word("text"));
-        if let Some(name) = fields
-            .get("vm")
-            .and_then(Json::as_str)
-            .filter(|_| text == "listening")
-        {
-            name.clone_into(&mut vm);
-        }
-        if text == DROPPED {
-            let count = fields.get("dropped").and_then(Json::as_u64).unwrap_or(0);
-            *logs.dropped.entry(vm.clone()).or_default() += count;
-        }
-        logs.lines.push(Line {
-            vm: vm.clone(),
-            time,
-            text,
-            fields,
-        });
-    }
-    Ok(())
-}
-
 /// Says which lines of the story can't be there.
 fn missing(logs: &Logs, story: &[&Line]) -> Vec<String> {
     let mut missing = Vec::new();
@@ -138,6 +62,9 @@
         .extend(dropped.map(|(vm, count)| format!("{vm} dropped {count} lines over its volume")));
     let unreadable = logs.unreadable.iter();
     missing.extend(unreadable.map(|(file, count)| format!("{file}: {count} lines are not JSON")));
+    missing.extend(logs.mixed.iter().map(|file| {
+        format!("{file}: lines of several VMs that don't name theirs; which VM a line is of can't be told")
+    }));
     missing
 }
 
@@ -149,7 +76,7 @@
     let of_vm = logs
         .lines
         .iter()
-        .filter(|line| line.vm == last.vm && line.time <= last.time);
+        .filter(|line| line.vm == last.vm && line.run == last.run && line.time <= last.time);
     let mut latest: BTreeMap<(String, String), &Line> = BTreeMap::new();
     for line in of_vm.filter(|line| !line.fields.contains_key("id")) {
         let about = ["upstream", "domain", "region", "store", "vm"];
@@ -192,5 +119,5 @@
 }
 
 fn for_programs(line: &Line) -> Json {
-    json!({ "vm": line.vm, "time": line.time, "text": line.text, "fields": line.fields })
+    json!({ "vm": line.vm, "run": line.run, "time": line.time, "text": line.text, "fields": line.fields })
 }
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -65,3 +65,63 @@
     assert_eq!(absent.exit, Exit::Failed);
     assert!(absent.err.contains("/no/such/log"));
 }
+
+const JOINED: &str = r#"
+{"vm":"north-1","run":"1","timestamp":"2026-01-02 10:00:01.0","kv":{"vm":"north-1"},"text":"listening"}
+{"vm":"south-1","run":"2","timestamp":"2026-01-02 10:00:01.1","kv":{"vm":"south-1"},"text":"listening"}
+{"vm":"north-1","run":"1","timestamp":"2026-01-02 10:00:02.0","kv":{"id":"r-1","send":1,"took_ms":900,"expected_ms":200,"free":true},"text":"request sent"}
+{"vm":"north-1","run":"1","timestamp":"2026-01-02 10:00:02.0","kv":{"id":"r-1","sends":1,"outcome":"answered","took_ms":900,"target_ms":400,"route":"maps"},"text":"request ended"}
+{"vm":"south-1","run":"2","timestamp":"2026-01-02 10:00:03.0","kv":{"id":"r-2","sends":0,"outcome":"not-run","cause":"every backend server is busy for too long","took_ms":0,"target_ms":400,"route":"orders"},"text":"request ended"}
+{"vm":"south-1","run":"2","timestamp":"2026-01-02 10:00:03.1","kv":{"id":"r-3","send":1,"took_ms":500,"expected_ms":450,"free":false},"text":"request sent"}
+{"vm":"south-1","run":"2","timestamp":"2026-01-02 10:00:03.1","kv":{"id":"r-3","sends":1,"outcome":"answered","took_ms":500,"target_ms":400,"route":"maps"},"text":"request ended"}
+{"vm":"south-1","run":"2","timestamp":"2026-01-02 10:00:03.2","kv":{"id":"r-4","sends":1,"outcome":"answered","took_ms":100,"target_ms":400,"route":"maps"},"text":"request ended"}
+"#;
+
+/// Story: a collector joins the logs of all VMs. Each line was told as one of the VM that started
+/// last, so the story of a request led to the wrong VM.
+#[test]
+fn lines_of_joined_logs_are_told_as_their_own_vms() {
+    let joined = log_file("trace-joined", JOINED);
+    let told = cli(&[], &["trace", "r-1", &joined]);
+    assert!(
+        told.out.contains("north-1") && !told.out.contains("south-1"),
+        "{}",
+        told.out
+    );
+    assert!(!told.out.contains("can't be told"));
+}
+
+#[test]
+fn joined_logs_that_name_no_vm_are_said_to_be_untellable() {
+    let text = JOINED.replace(r#""vm":"north-1","run":"1","#, "");
+    let joined = log_file("trace-unnamed", &text);
+    let told = cli(&[], &["trace", "r-1", &joined]);
+    assert!(told.out.contains("can't be told"), "{}", told.out);
+}
+
+#[test]
+fn losses_are_split_by_reason_route_vm_and_moment() {
+    let joined = log_file("losses-joined", JOINED);
+    let told = cli(&[], &["losses", "--json", &joined]);
+    assert_eq!(told.exit, Exit::Ok, "{}", told.err);
+    let found = json_of(&told);
+    assert_eq!(found["lost"], 3);
+    let reasons = &found["by_reason"];
+    assert_eq!(
+        reasons["late: its server did not keep the object, or is slow"],
+        1
+    );
+    assert_eq!(reasons["late: it waited at a full server"], 1);
+    assert_eq!(
+        reasons["refused: every backend server is busy for too long"],
+        1
+    );
+    assert_eq!(found["by_route"]["maps"], 2);
+    assert_eq!(found["by_vm"]["south-1"], 2);
+    assert_eq!(found["by_second"]["2026-01-02 10:00:03"], 2);
+    let text = cli(&[], &["losses", &joined]).out;
+    assert!(
+        text.contains("3 requests were refused, failed or late"),
+        "{text}"
+    );
+}
--- a/crates/daemon/examples/walkthrough/main.rs
+++ b/crates/daemon/examples/walkthrough/main.rs
@@ -41,7 +41,7 @@
 fn run() -> Result<bool, String> {
     let level = std::env::var(LOG_VARIABLE).ok();
     let level = level.and_then(|word| serde_json::from_value::<LogLevel>(word.into()).ok());
-    let _logger = level.map(logging::start);
+    let _logger = level.map(|level| logging::start(level, &"walkthrough".into()));
     let args: Vec<String> = std::env::args().skip(1).collect();
     let scenario = Scenario::from_args(&args)?;
     println!("heatherknot walkthrough: {}", scenario.trace.head.name);
--- a/crates/daemon/src/log_writer.rs
+++ b/crates/daemon/src/log_writer.rs
@@ -12,7 +12,9 @@
 
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, json_format};
+use heatherknot_types::prelude::*;
 use log::Record;
+use serde_json::Value;
 
 /// Lines that wait for the reader at most; with lines of about 400 bytes under a megabyte.
 const MAX_WAITING: usize = 2_048;
@@ -42,27 +44,55 @@
     }
 }
 
+/// Whose lines they are. Lines of several VMs end up in one file, and nothing else in a line tells
+/// them apart.
+#[derive(Clone, Debug, Default)]
+pub struct Origin {
+    /// The beginning of each line's fields; empty where nobody is named.
+    fields: String,
+}
+
+impl Origin {
+    /// Names a VM and a run of its daemon.
+    pub fn new(vm: &VmName, run: &str) -> Self {
+        let (vm, run) = (Value::from(vm.as_str()), Value::from(run));
+        Self {
+            fields: format!("\"vm\":{vm},\"run\":{run},"),
+        }
+    }
+
+    /// Puts the fields into a line, which is a JSON object.
+    fn put_into(&self, line: &mut Vec<u8>) {
+        if line.first() == Some(&b'{') {
+            line.splice(1..1, self.fields.bytes());
+        }
+    }
+}
+
 /// Queues log lines for the thread that writes them.
 pub struct BoundedWriter {
+    origin: Origin,
     tx: SyncSender<Vec<u8>>,
     allowance: Mutex<Allowance>,
     dropped: Arc<AtomicU64>,
 }
 
 impl BoundedWriter {
-    /// Starts the thread that writes lines to `out`.
+    /// Starts the thread that writes lines of `origin` to `out`.
     ///
     /// # Errors
     ///
     /// Fails where the system gives no thread.
-    pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
+    pub fn start(out: impl Write + Send + 'static, origin: Origin) -> io::Result<Self> {
         let (tx, rx) = sync_channel(MAX_WAITING);
         let dropped = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&dropped);
+        let named = origin.clone();
         std::thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_lines(out, &rx, &counted))?;
+            .spawn(move || write_lines(out, &rx, &counted, &named))?;
         Ok(Self {
+            origin,
             tx,
             allowance: Mutex::new(Allowance {
                 left: BURST_BYTES,
@@ -91,6 +121,7 @@
     fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
         let mut line = Vec::with_capacity(512);
         json_format(&mut line, now, record)?;
+        self.origin.put_into(&mut line);
         line.push(b'\n');
         self.queue(line);
         Ok(())
@@ -102,15 +133,17 @@
 }
 
 /// Writes lines for as long as there are any to come, and says in between how many are not.
-fn write_lines(mut out: impl Write, rx: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(mut out: impl Write, rx: &Receiver<Vec<u8>>, dropped: &AtomicU64, origin: &Origin) {
     while let Ok(line) = rx.recv() {
         let missing = dropped.swap(0, Ordering::Relaxed);
         if missing > 0 {
-            let note = format!(
+            let mut note = format!(
                 "{{\"level\":\"WARN\",\"kv\":{{\"dropped\":{missing}}},\"text\":\"log lines were dropped\"}}\n"
-            );
+            )
+            .into_bytes();
+            origin.put_into(&mut note);
             // Nobody reads the output any more: there is nobody to tell either.
-            let _ = out.write_all(note.as_bytes());
+            let _ = out.write_all(&note);
         }
         if out.write_all(&line).and_then(|()| out.flush()).is_err() {
             return;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -90,7 +90,7 @@
         Command::RunOnPlatform { config } => on_platform::run(&config),
         Command::Run { config } => {
             let cfg = Config::load(&config).map_err(|e| e.to_string())?;
-            let _logger = logging::start(cfg.log_level).map_err(|e| e.to_string())?;
+            let _logger = logging::start(cfg.log_level, &cfg.vm).map_err(|e| e.to_string())?;
             // The epoll driver by name: the default one would use io_uring where it can.
             let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
             let mut runtime = runtime.map_err(|e| format!("start the runtime: {e}"))?;
--- a/crates/daemon/src/on_platform.rs
+++ b/crates/daemon/src/on_platform.rs
@@ -62,7 +62,7 @@
 /// Fails where the start settings can't be used or an address can't be listened on.
 pub fn run(path: &Path) -> Result<(), String> {
     let cfg = load(path)?;
-    let _logger = logging::start(log_level(&cfg)?).map_err(|e| e.to_string())?;
+    let _logger = logging::start(log_level(&cfg)?, &cfg.vm).map_err(|e| e.to_string())?;
     // The epoll driver by name: the default one would use io_uring where it can.
     let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
     let mut runtime = runtime.map_err(|e| format!("start the runtime: {e}"))?;
