Put each mechanism of the decisions behind a switch of the settings

For measuring what each is worth: 'off' names mechanisms that a VM does without. All are on where it is missing. The decisions themselves are unchanged.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::call::Call;
 use crate::choose::Prospect;
 use crate::context::EdgeContext;
+use crate::switches::Mechanism;
 use crate::upstream::{InFlight, ServerLoad};
 
 /// The longest response body that is read whole before the caller gets its first byte. A
@@ -94,7 +95,8 @@
         return;
     };
     upstream.note_unanswered(slowness, now);
-    if slowness >= HANGS_FROM && upstream.is_silent_since(sent) {
+    let hangs = slowness >= HANGS_FROM && upstream.is_silent_since(sent);
+    if hangs && cx.switches.has(Mechanism::HangingServers) {
         log::info!(upstream:% = upstream.id, waited_ms = waited.0; "a backend server answers nothing and is left alone");
         upstream.note_failure_after(waited, now);
     }
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -11,6 +11,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::pace::Pace;
+use crate::switches::{Mechanism, Switches};
 use crate::upstream::Upstream;
 
 /// The part of a failing server's usual time that its failures are taken to cost. A failed
@@ -57,6 +58,8 @@
     pub left: Millis,
     /// Now.
     pub now: Millis,
+    /// Which mechanisms are on.
+    pub switches: Switches,
 }
 
 /// A server that may get the request, as it is expected to do.
@@ -109,9 +112,11 @@
         return choose_ranked(wish, &near_first(wish, others), pace, may_copy);
     }
     let here = choose_ranked(wish, &meant, pace, may_copy);
-    if here
-        .as_ref()
-        .is_some_and(|p| p.free || p.finish <= wish.target.0 as f64)
+    let may_leave = wish.switches.has(Mechanism::OtherRegions);
+    if !may_leave
+        || here
+            .as_ref()
+            .is_some_and(|p| p.free || p.finish <= wish.target.0 as f64)
     {
         return here;
     }
@@ -172,11 +177,27 @@
         false => pace.expected(&upstream.region, false, target * UNKNOWN_COLD),
     };
     let slots = f64::from(upstream.slots.get());
-    let load = upstream.load(pace.usual_others(wish.now), wish.now);
+    let has = |mechanism| wish.switches.has(mechanism);
+    let load = match has(Mechanism::ToldLoad) {
+        true => upstream.load(pace.usual_others(wish.now), wish.now),
+        false => f64::from(upstream.in_flight()),
+    };
+    let slowness = match has(Mechanism::Slowness) {
+        true => upstream.slowness(wish.now),
+        false => 1.0,
+    };
+    let failing = match has(Mechanism::Failing) {
+        true => upstream.failing(wish.now),
+        false => 0.0,
+    };
+    let cold_cost = match has(Mechanism::ColdCost) {
+        true => COLD_COST,
+        false => 1.0,
+    };
     let ahead = load + 1.0 - slots;
-    let wait = ahead.max(0.0) / slots * often * upstream.slowness(wish.now);
-    let work = usual * upstream.slowness(wish.now);
-    let extra = (usual - often).max(0.0) * (COLD_COST - 1.0);
+    let wait = ahead.max(0.0) / slots * often * slowness;
+    let work = usual * slowness;
+    let extra = (usual - often).max(0.0) * (cold_cost - 1.0);
     Prospect {
         warm,
         free: ahead <= 0.0,
@@ -185,7 +206,7 @@
         load,
         load_age: upstream.load_age(wish.now),
         own: upstream.in_flight(),
-        cost: work * (1.0 + FAILING_COST * upstream.failing(wish.now)) + wait + extra,
+        cost: work * (1.0 + FAILING_COST * failing) + wait + extra,
         upstream: Rc::clone(upstream),
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -24,6 +24,7 @@
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
 use crate::split::Split;
+use crate::switches::Switches;
 use crate::world::World;
 
 /// What all tasks of one daemon share. Tasks run on one thread; no borrow is held across an
@@ -33,6 +34,8 @@
     pub cfg: EdgeConfig,
     /// The bounds that the deployment states.
     pub bounds: Bounds,
+    /// Which mechanisms of the decisions are on.
+    pub switches: Switches,
     /// The platform's names.
     pub dialect: Dialect,
     /// This VM's region.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::presence::VmEntries;
 use crate::settings::{Bounds, EdgeConfig};
+use crate::switches::{Mechanism, Switches};
 use crate::world::World;
 use crate::{call, distance, forward, lookup, peer_feed, presence, reply, spill_step, stop};
 
@@ -193,6 +194,7 @@
         stop: Flag::new(),
         dialect,
         bounds,
+        switches: Switches::without(&cfg.off),
         cfg,
     }))
 }
@@ -278,7 +280,7 @@
     let finishing = stop::finishing_time(cx.bounds.grace);
     let caller_cx = Rc::clone(cx);
     Limits {
-        ahead: Some(AheadRule {
+        ahead: cx.switches.has(Mechanism::Ahead).then(|| AheadRule {
             most: MOST_AHEAD,
             may: Rc::new(move |head| call::may_go_ahead(&caller_cx, head)),
         }),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod split;
 mod stop;
 mod story;
+pub mod switches;
 pub mod upstream;
 pub mod window;
 pub mod world;
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -8,6 +8,7 @@
 use crate::call::Call;
 use crate::choose::{Prospect, Wish, choose};
 use crate::context::EdgeContext;
+use crate::switches::Mechanism;
 use crate::upstream::Upstream;
 
 /// When a caller may come back where nothing better is known.
@@ -57,15 +58,16 @@
         target: call.route.latency_target,
         left,
         now,
+        switches: cx.switches,
     };
     let route = cx.route(&call.route.name);
-    let place = route.place(call.object, &call.state.spill);
+    let place = route.place(call.object, &call.state.spill, cx.switches);
     let Some(best) = choose(
         &wish,
         &candidates,
         &call.state.pace,
         place,
-        call.state.copies.may(),
+        cx.switches.has(Mechanism::FurtherCopies) && call.state.copies.may(),
     ) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
     };
@@ -75,11 +77,11 @@
     // An answer after the latency target is worth little, and the work on it would make the
     // next requests late as well: what would wait that long is refused at once.
     let spent = now.since(call.started).0 as f64;
-    let late = best.finish + spent > latest(call, &best, now);
+    let late = best.finish + spent > latest(cx, call, &best, now);
     // A free server gets the request even if it is expected to end late: what is expected is
     // learned from other routes' requests, and a refusal would leave the server idle.
     let useless = best.finish > left.0 as f64 * USEFUL_PART;
-    if !best.free && (late || useless) {
+    if !best.free && (late || useless) && cx.switches.has(Mechanism::Refusal) {
         let over = (best.finish - best.work).max(0.0);
         let come_back = Millis(over as u64).min(Millis(left.0 / 3));
         return Err(Refusal {
@@ -98,8 +100,11 @@
 /// to the latency target, a VM then refuses everything as soon as the average is high, though
 /// many servers are below it. With a large fleet each VM hears seldom of a server: this took
 /// worth from 0.39 to 0.43 on days of high load with 72 VMs, and from 0.53 to 0.55 with 9.
-fn latest(call: &Call, best: &Prospect, now: Millis) -> f64 {
-    let doubt = 1.0 - best.upstream.load_trust(now);
+fn latest(cx: &EdgeContext, call: &Call, best: &Prospect, now: Millis) -> f64 {
+    let doubt = match cx.switches.has(Mechanism::Doubt) {
+        true => 1.0 - best.upstream.load_trust(now),
+        false => 0.0,
+    };
     call.route.latency_target.0 as f64 * (1.0 + DOUBT_PART * doubt)
 }
 
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -16,6 +16,7 @@
 use crate::choose::Place;
 use crate::ewma::Ewma;
 use crate::spill::Spill;
+use crate::switches::{Mechanism, Switches};
 use crate::window::Window;
 
 /// The longest way to another region and back, as a part of the latency target, for objects
@@ -125,10 +126,11 @@
     /// stead. Bytes between regions were a third of what a day lost to its prices; uploads of
     /// 60 KB from a region with a tenth of the servers made up half of them. Worth 0.010 on days
     /// with trouble, means of three seeds, and nothing on deployments without large bodies.
-    pub fn place(&self, object: u64, spill: &Spill) -> Place {
+    pub fn place(&self, object: u64, spill: &Spill, switches: Switches) -> Place {
+        let stays = self.is_large.get() && switches.has(Mechanism::LargeStays);
         match self.of(object) {
             Reach::Domain => Place::Domain,
-            Reach::Region if !self.is_large.get() && spill.is_away(object) => Place::Away,
+            Reach::Region if !stays && spill.is_away(object) => Place::Away,
             Reach::Region => Place::Region,
             Reach::Everywhere => Place::Everywhere,
         }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -6,6 +6,8 @@
 use heatherknot_types::prelude::*;
 use serde::Deserialize;
 
+use crate::switches::Mechanism;
+
 /// The start settings of one daemon, as its JSON file holds them.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -34,6 +36,9 @@
     /// beyond it can be sent once only.
     #[serde(default = "default_kept_bodies_mb")]
     pub kept_bodies_mb: u32,
+    /// Mechanisms of the decisions that are switched off, to measure what they are worth.
+    #[serde(default)]
+    pub off: Vec<Mechanism>,
     /// The bounds that the deployment states.
     #[serde(default)]
     pub bounds: StatedBounds,
--- a/crates/edge/src/spill_step.rs
+++ b/crates/edge/src/spill_step.rs
@@ -8,6 +8,7 @@
 use crate::presence;
 use crate::reach::Distance;
 use crate::spill::Room;
+use crate::switches::Mechanism;
 use crate::upstream::Upstream;
 
 /// Moves each threshold once.
@@ -17,7 +18,8 @@
     let Some(catalog) = catalog else {
         return;
     };
-    for spec in catalog.services() {
+    let has = |mechanism| cx.switches.has(mechanism);
+    for spec in catalog.services().filter(|_| has(Mechanism::Spill)) {
         let state = cx.service(&spec.name);
         state.spill.step(room(cx, &spec.name, now), now);
     }
@@ -25,10 +27,18 @@
     let vms_here = here.iter().filter(|vm| vm.domain == cx.cfg.domain).count();
     for route in catalog.routes() {
         let distance = Distance {
-            round_trip: cx.distances.round_trip(),
+            // As far as the whole target: nothing is served everywhere.
+            round_trip: match has(Mechanism::Everywhere) {
+                true => cx.distances.round_trip(),
+                false => Some(route.latency_target),
+            },
             target: route.latency_target,
             large: route.large_answers || route.large_bodies,
-            vms_here,
+            // With no VM here no object is asked for often enough to stay in the domain.
+            vms_here: match has(Mechanism::OwnDomain) {
+                true => vms_here,
+                false => 0,
+            },
         };
         cx.route(&route.name).step(distance, now);
     }
--- /dev/null
+++ b/crates/edge/src/switches.rs
@@ -0,0 +1,65 @@
+//! Mechanisms of the decisions that can be switched off, to measure what each is worth.
+
+use serde::Deserialize;
+
+/// A mechanism of the decisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mechanism {
+    /// A busy region sends a part of its objects away.
+    Spill,
+    /// Objects are served by one server of the whole system where the way is short.
+    Everywhere,
+    /// Objects that carry much are served in the caller's failure domain.
+    OwnDomain,
+    /// What carries much is not sent away.
+    LargeStays,
+    /// A crowded server is relieved by copies of single objects.
+    FurtherCopies,
+    /// What would be refused may go to a free server of another region.
+    OtherRegions,
+    /// What every server would answer too late is refused at once.
+    Refusal,
+    /// Later answers are allowed where a server's load is little known.
+    Doubt,
+    /// What servers tell of their load counts.
+    ToldLoad,
+    /// Servers that take longer than usual get less.
+    Slowness,
+    /// Servers that fail or refuse get less.
+    Failing,
+    /// A server that answers nothing at all is left alone.
+    HangingServers,
+    /// Work without a kept object counts more than its time.
+    ColdCost,
+    /// Requests sent ahead are handled side by side.
+    Ahead,
+}
+
+/// Which mechanisms are on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Switches {
+    /// One bit for each mechanism that is off.
+    off: u32,
+}
+
+impl Switches {
+    /// Switches off what `off` names; all else is on.
+    pub fn without(off: &[Mechanism]) -> Self {
+        let bits = off.iter().map(|mechanism| mechanism.bit());
+        Self {
+            off: bits.fold(0, |all, bit| all | bit),
+        }
+    }
+
+    /// Says whether a mechanism is on.
+    pub fn has(self, mechanism: Mechanism) -> bool {
+        self.off & mechanism.bit() == 0
+    }
+}
+
+impl Mechanism {
+    fn bit(self) -> u32 {
+        1 << self as u32
+    }
+}
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -12,6 +12,7 @@
 use heatherknot_edge::settings::Bounds;
 use heatherknot_edge::spill::{Room, Spill};
 use heatherknot_edge::split::Split;
+use heatherknot_edge::switches::Switches;
 use heatherknot_edge::upstream::{ServerLoad, Upstream};
 use heatherknot_edge::window::Window;
 use heatherknot_types::prelude::*;
@@ -28,6 +29,7 @@
         target: Millis(600),
         left: Millis(1_500),
         now,
+        switches: Switches::default(),
     }
 }
 
--- a/crates/edge/tests/load_patterns.rs
+++ b/crates/edge/tests/load_patterns.rs
@@ -6,6 +6,7 @@
 use heatherknot_edge::choose::Place;
 use heatherknot_edge::reach::{Distance, RouteReach};
 use heatherknot_edge::spill::{Room, Spill};
+use heatherknot_edge::switches::Switches;
 use heatherknot_types::prelude::*;
 
 /// How often a daemon moves its thresholds.
@@ -94,7 +95,7 @@
     reads.step(distance(false), Millis(0));
 
     let away = |route: &RouteReach| {
-        let places = (0..1_000).map(|object| route.place(object, &spill));
+        let places = (0..1_000).map(|object| route.place(object, &spill, Switches::default()));
         places.filter(|place| *place == Place::Away).count()
     };
 
@@ -124,6 +125,7 @@
     route.step(distance(113), Millis(500));
 
     let spill = Spill::default();
-    let is_far = |object: &u64| route.place(*object, &spill) == Place::Everywhere;
+    let is_far =
+        |object: &u64| route.place(*object, &spill, Switches::default()) == Place::Everywhere;
     assert_eq!((0..1_000).filter(is_far).count(), 1_000);
 }
