--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -145,7 +145,6 @@
     let service = target.ok_or(Unroutable::NoTarget)?.service.clone();
     let state = cx.service(&service);
     state.budget.borrow_mut().request(started);
-    state.copies.request();
     let headers = &req.head.headers;
     let stated = headers.get(&cx.dialect.headers.time_left);
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -22,9 +22,6 @@
 /// seen; and for one that it does not keep. They only say that the second takes longer.
 const UNKNOWN_WARM: f64 = 0.4;
 const UNKNOWN_COLD: f64 = 1.2;
-/// The next servers of an object's rank that may get a further copy where the first one would
-/// answer too late.
-const NEXT_COPIES: usize = 2;
 /// How many times the extra work for an object that a server does not keep counts. The work
 /// takes a slot from other requests, beside the time that it takes itself.
 const COLD_COST: f64 = 3.0;
@@ -87,17 +84,15 @@
 
 /// Chooses among `candidates`; gives nothing where there are none.
 ///
-/// An object is served at its `place`. There the
-/// first server of its rank gets it. Another one gets a copy only where it is free and the
-/// first one is so busy that even the work without a copy is done sooner there. With more
-/// copies, an overload spreads every object over every server, none of which then keeps any,
-/// and the overload stays.
+/// An object is served at its `place`. There the first server of its rank gets it. Another one
+/// gets a copy only where it is free and the first one is so busy that even the work without a
+/// copy is done sooner there. With more copies, an overload spreads every object over every
+/// server, none of which then keeps any, and the overload stays.
 pub fn choose(
     wish: &Wish<'_>,
     candidates: &[Rc<Upstream>],
     pace: &Pace,
     place: Place,
-    may_copy: bool,
 ) -> Option<Prospect> {
     let ranked = ranked(wish, candidates);
     let is_meant = |u: &Upstream| match place {
@@ -109,9 +104,9 @@
     let (meant, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|u| is_meant(u));
     if meant.is_empty() {
         // A region without servers of the service, or without one that the route allows.
-        return choose_ranked(wish, &near_first(wish, others), pace, may_copy);
+        return choose_ranked(wish, &near_first(wish, others), pace);
     }
-    let here = choose_ranked(wish, &meant, pace, may_copy);
+    let here = choose_ranked(wish, &meant, pace);
     let may_leave = wish.switches.has(Mechanism::OtherRegions);
     if !may_leave
         || here
@@ -120,11 +115,11 @@
     {
         return here;
     }
-    // Only what would otherwise be refused leaves the regions that it is meant for. Servers
-    // there keep the object only if it was sent there before.
+    // Only what would otherwise be refused leaves the regions that it is meant for, and only for
+    // servers that it was sent to before.
     let near_first = near_first(wish, others);
     let mut there = near_first.iter().map(|u| prospect(wish, u, false, pace));
-    there.find(|p| p.free && (p.warm || may_copy)).or(here)
+    there.find(|p| p.free && p.warm).or(here)
 }
 
 /// Puts the servers of the own region first, each part in its order.
@@ -133,25 +128,14 @@
     ranked
 }
 
-fn choose_ranked(
-    wish: &Wish<'_>,
-    ranked: &[Rc<Upstream>],
-    pace: &Pace,
-    may_copy: bool,
-) -> Option<Prospect> {
+fn choose_ranked(wish: &Wish<'_>, ranked: &[Rc<Upstream>], pace: &Pace) -> Option<Prospect> {
     let (first, others) = ranked.split_first()?;
     let first = prospect(wish, first, true, pace);
     if first.free {
         return Some(first);
     }
-    let mut others = others.iter().map(|u| prospect(wish, u, false, pace));
-    let is_late = first.finish > wish.target.0 as f64;
-    let next = others.by_ref().take(NEXT_COPIES);
-    let next: Vec<Prospect> = next.filter(|p| p.free).collect();
-    if let Some(copy) = next.first().filter(|_| is_late && may_copy) {
-        return Some(copy.clone());
-    }
-    let mut spares = next.into_iter().chain(others.filter(|p| p.free));
+    let others = others.iter().map(|u| prospect(wish, u, false, pace));
+    let mut spares = others.filter(|p| p.free);
     let spare = spares.find(|p| p.cost < first.cost);
     Some(spare.unwrap_or(first))
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -12,7 +12,6 @@
 use prometheus::Registry;
 
 use crate::budget::RetryBudget;
-use crate::copies::Copies;
 use crate::dialect::Dialect;
 use crate::distance::Distances;
 use crate::feed::Feed;
@@ -96,8 +95,6 @@
     pub budget: RefCell<RetryBudget>,
     /// Which part of the objects other regions serve.
     pub spill: Spill,
-    /// How many further copies of objects may be made.
-    pub copies: Copies,
     /// When each cold backend server may get its next request from this VM.
     pub cold_next: RefCell<HashMap<UpstreamName, Millis>>,
 }
@@ -116,7 +113,6 @@
                 pace: Pace::default(),
                 budget: RefCell::new(RetryBudget::new(&self.bounds)),
                 spill: Spill::default(),
-                copies: Copies::default(),
                 cold_next: RefCell::default(),
             })
         });
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod catalog;
 pub mod choose;
 pub mod context;
-pub mod copies;
 pub mod daemon;
 pub mod dialect;
 pub mod distance;
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -62,18 +62,9 @@
     };
     let route = cx.route(&call.route.name);
     let place = route.place(call.object, &call.state.spill, cx.switches);
-    let Some(best) = choose(
-        &wish,
-        &candidates,
-        &call.state.pace,
-        place,
-        cx.switches.has(Mechanism::FurtherCopies) && call.state.copies.may(),
-    ) else {
+    let Some(best) = choose(&wish, &candidates, &call.state.pace, place) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
     };
-    if !best.warm {
-        call.state.copies.made();
-    }
     // An answer after the latency target is worth little, and the work on it would make the
     // next requests late as well: what would wait that long is refused at once.
     let spent = now.since(call.started).0 as f64;
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -14,9 +14,7 @@
     OwnDomain,
     /// What carries much is not sent away.
     LargeStays,
-    /// A crowded server is relieved by copies of single objects.
-    FurtherCopies,
-    /// What would be refused may go to a free server of another region.
+    /// What would be refused may go to a free server of another region that keeps the object.
     OtherRegions,
     /// What every server would answer too late is refused at once.
     Refusal,
