--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -135,23 +135,9 @@
 fn make_context(cfg: EdgeConfig, platform: Platform) -> Result<Rc<EdgeContext>, StartError> {
     let Platform { dialect, store } = platform;
     let bounds = Bounds::from(&cfg.bounds);
-    let domain = &cfg.domain;
-    let region = cfg.domains.get(domain).cloned();
-    let region = region.ok_or_else(|| {
-        NoRegionSnafu {
-            domain: domain.clone(),
-        }
-        .build()
-    })?;
+    let region = own_region(&cfg)?;
     let timer = Timer::system();
-    let pool = upstream_pool(&dialect);
-    let world = World::new(
-        dialect.clone(),
-        cfg.domains.clone(),
-        pool,
-        timer.clock.clone(),
-    );
-    let world = Rc::new(RefCell::new(world));
+    let world = make_world(&cfg, &dialect, &timer);
     let feed = Feed::new(
         store.clone(),
         timer.clone(),
@@ -199,6 +185,27 @@
     }))
 }
 
+fn own_region(cfg: &EdgeConfig) -> Result<RegionName, StartError> {
+    let domain = &cfg.domain;
+    let region = cfg.domains.get(domain).cloned();
+    region.ok_or_else(|| {
+        NoRegionSnafu {
+            domain: domain.clone(),
+        }
+        .build()
+    })
+}
+
+fn make_world(cfg: &EdgeConfig, dialect: &Dialect, timer: &Timer) -> Rc<RefCell<World>> {
+    let world = World::new(
+        dialect.clone(),
+        cfg.domains.clone(),
+        upstream_pool(dialect),
+        timer.clock.clone(),
+    );
+    Rc::new(RefCell::new(world))
+}
+
 fn join_peers(
     cfg: &EdgeConfig,
     incarnation: Incarnation,
--- a/crates/http/tests/ahead.rs
+++ b/crates/http/tests/ahead.rs
@@ -68,6 +68,12 @@
     }
 }
 
+/// Starts a server and connects a caller to it.
+async fn connected(seen: &Rc<Seen>) -> RawCaller {
+    let (address, _server) = start_with(handler(seen), limits(), Flag::new());
+    RawCaller::connect(address).await.expect("a connection")
+}
+
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")
 }
@@ -86,8 +92,7 @@
 fn requests_behind_a_slow_one_are_handled_beside_it_and_answered_in_order() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         caller.send(get("/slow")).await.expect("sent");
         until(|| seen.begun() == 1).await;
         caller
@@ -109,8 +114,7 @@
 fn a_flood_is_handled_a_few_requests_at_a_time() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         let flood: String = (0..300).map(|n| get(&format!("/slow/{n}"))).collect();
         caller.send(flood).await.expect("sent");
 
@@ -130,8 +134,7 @@
 fn what_may_run_once_waits_for_the_answers_before_it() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         let order = "POST /order HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nabc";
         let sent = [&get("/slow"), &get("/a"), order, &get("/b")].concat();
         caller.send(sent).await.expect("sent");
@@ -152,8 +155,7 @@
 fn behind_an_answer_that_breaks_off_all_is_given_up() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         caller
             .send(["/broken", "/slow/1", "/slow/2"].map(get).concat())
             .await
@@ -172,8 +174,7 @@
 fn nothing_behind_a_request_that_closes_the_connection_is_handled() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         let last = "GET /last HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
         let sent = [&get("/slow"), last, &get("/never")].concat();
         caller.send(sent).await.expect("sent");
@@ -192,8 +193,7 @@
 fn a_caller_that_leaves_ends_all_its_requests() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         caller
             .send(["/slow/1", "/slow/2", "/slow/3"].map(get).concat())
             .await
@@ -238,8 +238,7 @@
 fn an_error_in_the_middle_comes_in_its_turn() {
     block_on(async {
         let seen = Rc::new(Seen::default());
-        let (address, _server) = start_with(handler(&seen), limits(), Flag::new());
-        let mut caller = RawCaller::connect(address).await.expect("a connection");
+        let mut caller = connected(&seen).await;
         let sent = [&get("/slow"), &get("/a"), "NO REQUEST\r\n\r\n", &get("/b")].concat();
         caller.send(sent).await.expect("sent");
         until(|| seen.begun() == 2).await;
