--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -122,6 +122,7 @@
             lookups: free_address(),
             peers: free_address(),
             metrics: free_address(),
+            handed: free_address(),
         };
         let door = self.store.door();
         let proxy = Proxy::start(door);
--- a/crates/daemon/tests/walks.rs
+++ b/crates/daemon/tests/walks.rs
@@ -31,13 +31,15 @@
         let dir =
             std::env::temp_dir().join(format!("heatherknot-walk-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("the directory can be made");
-        let [requests, ready, lookups, peers, metrics] = std::array::from_fn(|_| free_address());
+        let [requests, ready, lookups, peers, metrics, handed] =
+            std::array::from_fn(|_| free_address());
         let at = Listening {
             requests,
             ready,
             lookups,
             peers,
             metrics,
+            handed,
         };
         let cfg = settings(name, "port-1", &at, store.door(), &[]);
         let (file, log) = (dir.join("settings.json"), dir.join("log"));
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -186,7 +186,11 @@
 }
 
 /// Reads a short body whole; a longer one is passed on as it comes.
-async fn hold(call: &Call, cx: &EdgeContext, response: Response) -> Result<Response, &'static str> {
+pub(crate) async fn hold(
+    call: &Call,
+    cx: &EdgeContext,
+    response: Response,
+) -> Result<Response, &'static str> {
     let Response {
         status,
         headers,
@@ -243,11 +247,8 @@
     if let Some(load) = load {
         let others = prospect.upstream.note_load(load, cx.now());
         call.state.pace.note_others(others, cx.now());
-        let requests = f64::from(load.running + load.waiting);
         let is_own = prospect.upstream.region == cx.region;
-        call.state
-            .spill
-            .note(is_own, requests / f64::from(load.slots.max(1)));
+        call.state.spill.note(is_own, load.per_slot());
     }
 }
 
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -11,6 +11,7 @@
 
 use crate::catalog::{Catalog, Route};
 use crate::context::{EdgeContext, ServiceState};
+use crate::hand_over::HandedWord;
 
 /// The longest request body that is read whole before it is sent. Longer ones are sent as they
 /// come, so that a slow link is not waited for twice.
@@ -34,6 +35,8 @@
     pub(crate) body: HeldBody,
     /// Its object, or its identifier where it has none.
     pub(crate) object: u64,
+    /// The backend server that another VM has chosen for it by rank, where one handed it over.
+    pub(crate) meant: Option<UpstreamName>,
     /// When its head was read.
     pub(crate) started: Millis,
     /// When it gets an answer at the latest.
@@ -122,8 +125,13 @@
     catalog.route(host.unwrap_or(""), head.path())
 }
 
-/// Finds the route of a request and reads its body, where that is short.
-pub(crate) async fn admit(cx: &EdgeContext, req: Request) -> Result<Call, Unroutable> {
+/// Finds the route of a request and reads its body, where that is short. Where another VM handed
+/// it over, that VM has chosen the service; it has counted the request for the route, too.
+pub(crate) async fn admit(
+    cx: &EdgeContext,
+    req: Request,
+    handed: Option<HandedWord>,
+) -> Result<Call, Unroutable> {
     let started = cx.now();
     let catalog = cx.world.borrow().catalog().cloned();
     let catalog = catalog.ok_or(Unroutable::NoCatalog)?;
@@ -132,25 +140,21 @@
         true => Unroutable::UnreadRoute,
         false => Unroutable::NoRoute,
     })?;
-    let target = match route.targets.as_slice() {
-        [only] => Some(only),
-        targets => {
-            let mut splits = cx.splits.borrow_mut();
-            splits
-                .entry(Arc::clone(&route.name))
-                .or_default()
-                .next(targets)
-        }
+    let service = match &handed {
+        Some(word) => allowed_service(&route, &word.service),
+        None => next_service(cx, &route),
     };
-    let service = target.ok_or(Unroutable::NoTarget)?.service.clone();
+    let service = service.ok_or(Unroutable::NoTarget)?;
     let state = cx.service(&service);
-    state.budget.borrow_mut().request(started);
     let headers = &req.head.headers;
     let stated = headers.get(&cx.dialect.headers.time_left);
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
     let patience = stated.map_or(DEFAULT_TIME, Millis).min(route.timeout);
     let object = object_of(cx, &req.head);
-    cx.route(&route.name).note_request(object, started);
+    if handed.is_none() {
+        state.asked.borrow_mut().add(started, 1.0);
+        cx.route(&route.name).note_request(object, started);
+    }
     let body = HeldBody::hold(req.body, &cx.kept_bodies)
         .await
         .map_err(Unroutable::Body)?;
@@ -162,12 +166,32 @@
         head: req.head,
         body,
         object,
+        meant: handed.map(|word| word.server),
         started,
         deadline: started + patience,
         cancelled: req.cancelled,
     })
 }
 
+/// Gives a service that another VM has chosen, where the route leads to it.
+fn allowed_service(route: &Route, chosen: &ServiceName) -> Option<ServiceName> {
+    let target = route.targets.iter().find(|t| t.service == *chosen);
+    target.map(|target| target.service.clone())
+}
+
+/// Gives the service of the route's next request.
+fn next_service(cx: &EdgeContext, route: &Route) -> Option<ServiceName> {
+    let target = match route.targets.as_slice() {
+        [only] => Some(only),
+        targets => {
+            let mut splits = cx.splits.borrow_mut();
+            let split = splits.entry(Arc::clone(&route.name)).or_default();
+            split.next(targets)
+        }
+    };
+    target.map(|target| target.service.clone())
+}
+
 /// Gives a number for the request's object. One without an object gets a number of its own,
 /// which spreads such requests evenly.
 ///
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -57,6 +57,10 @@
     pub now: Millis,
     /// Which mechanisms are on.
     pub switches: Switches,
+    /// The server that another VM has found to be the first of the rank.
+    pub named: Option<&'a UpstreamName>,
+    /// Says whether this VM is the home of a server.
+    pub is_home: &'a dyn Fn(&Upstream) -> bool,
 }
 
 /// A server that may get the request, as it is expected to do.
@@ -94,19 +98,14 @@
     pace: &Pace,
     place: Place,
 ) -> Option<Prospect> {
-    let ranked = ranked(wish, candidates);
-    let is_meant = |u: &Upstream| match place {
-        Place::Domain => u.domain == *wish.domain,
-        Place::Region => u.region == *wish.region,
-        Place::Away => u.region != *wish.region,
-        Place::Everywhere => true,
-    };
-    let (meant, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|u| is_meant(u));
-    if meant.is_empty() {
+    let (there, others): (Vec<_>, Vec<_>) =
+        candidates.iter().partition(|u| is_there(wish, u, place));
+    if there.is_empty() {
         // A region without servers of the service, or without one that the route allows.
-        return choose_ranked(wish, &near_first(wish, others), pace);
+        let order = |u: &Upstream| near_first(wish, u);
+        return choose_ranked(wish, &others, pace, &order);
     }
-    let here = choose_ranked(wish, &meant, pace);
+    let here = choose_ranked(wish, &there, pace, &|_| 0);
     let may_leave = wish.switches.has(Mechanism::OtherRegions);
     if !may_leave
         || here
@@ -117,39 +116,102 @@
     }
     // Only what would otherwise be refused leaves the regions that it is meant for, and only for
     // servers that it was sent to before.
-    let near_first = near_first(wish, others);
-    let mut there = near_first.iter().map(|u| prospect(wish, u, false, pace));
-    there.find(|p| p.free && p.warm).or(here)
+    let ranked = ranked(wish, &others, &|u| near_first(wish, u));
+    let mut elsewhere = ranked.iter().map(|u| prospect(wish, u, false, pace));
+    elsewhere.find(|p| p.free && p.warm).or(here)
+}
+
+/// Gives the server of `candidates` that gets an object at its `place` where it has room, as all
+/// VMs work it out alike.
+pub fn first(wish: &Wish<'_>, candidates: &[Rc<Upstream>], place: Place) -> Option<Rc<Upstream>> {
+    let there = candidates.iter().filter(|u| is_there(wish, u, place));
+    let best = first_of_rank(wish, there, &|_| 0);
+    let anywhere = || first_of_rank(wish, candidates.iter(), &|u| near_first(wish, u));
+    best.or_else(anywhere).cloned()
 }
 
-/// Puts the servers of the own region first, each part in its order.
-fn near_first(wish: &Wish<'_>, mut ranked: Vec<Rc<Upstream>>) -> Vec<Rc<Upstream>> {
-    ranked.sort_by_key(|u| u.region != *wish.region);
-    ranked
+/// Which servers come before others, whatever their rank: those with the least number.
+type Order<'a> = &'a dyn Fn(&Upstream) -> u8;
+
+fn near_first(wish: &Wish<'_>, upstream: &Upstream) -> u8 {
+    u8::from(upstream.region != *wish.region)
 }
 
-fn choose_ranked(wish: &Wish<'_>, ranked: &[Rc<Upstream>], pace: &Pace) -> Option<Prospect> {
-    let (first, others) = ranked.split_first()?;
-    let first = prospect(wish, first, true, pace);
+fn is_there(wish: &Wish<'_>, upstream: &Upstream, place: Place) -> bool {
+    match place {
+        Place::Domain => upstream.domain == *wish.domain,
+        Place::Region => upstream.region == *wish.region,
+        Place::Away => upstream.region != *wish.region,
+        Place::Everywhere => true,
+    }
+}
+
+fn choose_ranked(
+    wish: &Wish<'_>,
+    servers: &[&Rc<Upstream>],
+    pace: &Pace,
+    order: Order<'_>,
+) -> Option<Prospect> {
+    let chosen = first_of_rank(wish, servers.iter().copied(), order)?;
+    let first = prospect(wish, chosen, true, pace);
     if first.free {
         return Some(first);
     }
-    let others = others.iter().map(|u| prospect(wish, u, false, pace));
+    let others = servers.iter().filter(|u| u.id != chosen.id);
+    let others: Vec<&Rc<Upstream>> = others.copied().collect();
+    // The load of servers whose home this VM is is known exactly, so they are asked first.
+    let known_first = |u: &Upstream| 2 * order(u) + u8::from(!(wish.is_home)(u));
+    let ranked = ranked(wish, &others, &known_first);
+    let others = ranked.iter().map(|u| prospect(wish, u, false, pace));
     let mut spares = others.filter(|p| p.free);
     let spare = spares.find(|p| p.cost < first.cost);
     Some(spare.unwrap_or(first))
 }
 
-/// Ranks the servers for an object by weighted rendezvous hashing, alike on every VM.
-fn ranked(wish: &Wish<'_>, candidates: &[Rc<Upstream>]) -> Vec<Rc<Upstream>> {
+/// Gives the first server of an object's rank: the one that another VM named, where it is among
+/// them.
+fn first_of_rank<'a>(
+    wish: &Wish<'_>,
+    mut servers: impl Iterator<Item = &'a Rc<Upstream>> + Clone,
+    order: Order<'_>,
+) -> Option<&'a Rc<Upstream>> {
+    if let Some(named) = wish.named
+        && let Some(upstream) = servers.clone().find(|u| u.id == *named)
+    {
+        return Some(upstream);
+    }
+    let first = servers.next()?;
+    let keyed = servers.map(|u| (order(u), place_in_rank(wish, u), u));
+    let best = keyed.fold(
+        (order(first), place_in_rank(wish, first), first),
+        |best, next| {
+            let is_before = next.0.cmp(&best.0).then(next.1.total_cmp(&best.1)).is_lt();
+            if is_before { next } else { best }
+        },
+    );
+    Some(best.2)
+}
+
+/// Ranks servers for an object.
+fn ranked<'a>(
+    wish: &Wish<'_>,
+    servers: &[&'a Rc<Upstream>],
+    order: Order<'_>,
+) -> Vec<&'a Rc<Upstream>> {
+    let placed = servers
+        .iter()
+        .map(|u| (order(u), place_in_rank(wish, u), *u));
+    let mut placed: Vec<(u8, f64, &Rc<Upstream>)> = placed.collect();
+    placed.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    placed.into_iter().map(|(_, _, u)| u).collect()
+}
+
+/// Gives a server's place in the rank of an object, by weighted rendezvous hashing alike on every
+/// VM: the least comes first.
+fn place_in_rank(wish: &Wish<'_>, upstream: &Upstream) -> f64 {
     let object = wish.object.to_le_bytes();
-    let score = |u: &Rc<Upstream>| {
-        let unit = hash::unit_interval(hash::rendezvous(&[&object], u.id.as_str()));
-        -unit.ln() / f64::from(u.slots.get())
-    };
-    let mut scored: Vec<(f64, &Rc<Upstream>)> = candidates.iter().map(|u| (score(u), u)).collect();
-    scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-    scored.into_iter().map(|(_, u)| Rc::clone(u)).collect()
+    let drawn = hash::rendezvous(&[&object], upstream.id.as_str());
+    -hash::unit_interval(drawn).ln() / f64::from(upstream.slots.get())
 }
 
 fn prospect(wish: &Wish<'_>, upstream: &Rc<Upstream>, is_first: bool, pace: &Pace) -> Prospect {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -15,15 +15,18 @@
 use crate::dialect::Dialect;
 use crate::distance::Distances;
 use crate::feed::Feed;
+use crate::homes::Homes;
 use crate::metrics::EdgeMetrics;
 use crate::pace::Pace;
-use crate::presence::{VmEntries, VmEntry};
+use crate::presence::{self, VmEntries, VmEntry};
 use crate::reach::RouteReach;
 use crate::relay::Relay;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
 use crate::split::Split;
 use crate::switches::Switches;
+use crate::upstream::IDLE_KEPT;
+use crate::window::Window;
 use crate::world::World;
 
 /// What all tasks of one daemon share. Tasks run on one thread; no borrow is held across an
@@ -59,13 +62,13 @@
     pub entries: Rc<VmEntries>,
     /// Whether those entries were read since this process started.
     pub knows_vms: Cell<bool>,
-    /// How long the store took to answer this VM's last request for a lease.
+    /// How long the store took to answer this VM's first question.
     pub store_way: Cell<Option<Millis>>,
     /// Who hears from whom.
     pub relay: RefCell<Rc<Relay>>,
     /// The VMs that are there, as they were looked for last.
     pub vms: RefCell<Rc<Vec<VmEntry>>>,
-    /// The most VMs that were ever known at once.
+    /// The most VMs that were ever known at once; zero until all keys of the store were heard of.
     pub most_vms: Cell<usize>,
     /// What is learned of each service.
     pub services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
@@ -75,6 +78,10 @@
     pub routes: RefCell<HashMap<Arc<str>, Rc<RouteReach>>>,
     /// The memory for long request bodies that may have to be sent again.
     pub kept_bodies: Rc<KeepRoom>,
+    /// The homes of backend servers, and the connections to them.
+    pub homes: Homes,
+    /// Shows that a request was handed over by a VM of this deployment.
+    pub handed_token: String,
     /// How far other regions are.
     pub distances: Distances,
     /// Metrics.
@@ -93,6 +100,9 @@
     pub pace: Pace,
     /// The budget of further sends.
     pub budget: RefCell<RetryBudget>,
+    /// The requests that callers sent to this VM, in the time for which an idle connection to a
+    /// backend server is kept.
+    pub asked: RefCell<Window>,
     /// Which part of the objects other regions serve.
     pub spill: Spill,
     /// When each cold backend server may get its next request from this VM.
@@ -112,6 +122,7 @@
             Rc::new(ServiceState {
                 pace: Pace::default(),
                 budget: RefCell::new(RetryBudget::new(&self.bounds)),
+                asked: RefCell::new(Window::new(IDLE_KEPT)),
                 spill: Spill::default(),
                 cold_next: RefCell::default(),
             })
@@ -126,8 +137,17 @@
     }
 
     /// Gives the number of VMs that may be sending, which may be more than are in touch.
+    ///
+    /// A VM that has just started knows those of its own domain, which may be few of hundreds.
+    /// Were the shared part of a budget divided by those, a start of all VMs would overdraw it.
     pub fn vms_that_may_send(&self) -> usize {
-        let seen = self.most_vms.get().max(1);
+        if self.most_vms.get() == 0 {
+            presence::refresh(self);
+        }
+        let seen = match self.most_vms.get() {
+            0 => return usize::MAX,
+            seen => seen,
+        };
         // VMs that were added out of this one's sight: a quarter more, and one at least.
         seen + (seen / 4).max(1)
     }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -23,22 +23,33 @@
 use crate::dialect::Dialect;
 use crate::distance::Distances;
 use crate::feed::Feed;
+use crate::homes::Homes;
 use crate::metrics::EdgeMetrics;
 use crate::presence::VmEntries;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
+use crate::upstream::IDLE_KEPT;
 use crate::world::World;
-use crate::{call, distance, forward, lookup, peer_feed, presence, reply, spill_step, stop};
+use crate::{
+    call, distance, enter, forward, hand_over, lookup, peer_feed, presence, reply, spill_step, stop,
+};
 
 /// How often idle connections are looked through, and missing backend servers.
 const TICK: Millis = Millis(250);
 /// Ticks for each look through idle connections.
 const TICKS_A_SWEEP: u64 = 8;
+/// What the token of requests that are handed over is made for.
+const HANDED_PURPOSE: &str = "requests handed over";
 /// When a caller may repeat a look-up that found no VM.
 const LOOKUP_RETURN: Millis = Millis(300);
 /// Requests of one connection that are handled beside its first one. Their answers wait in
 /// memory for the one before them, 64 KB each at most, so half a megabyte a connection.
 const MOST_AHEAD: usize = 8;
+/// The longest pause between two tries of the store by a leader of a domain that is no reader.
+const LEADER_PAUSE: Millis = Millis(1_500);
+/// The same for any other VM, however many there are. A VM that no peer tells anything of use
+/// is to find the store again in bearable time.
+const LONGEST_ALONE: Millis = Millis(30_000);
 /// The longest message between daemons: the copy of the store's keys of a whole deployment.
 const MAX_PEER_MESSAGE: usize = 4 << 20;
 
@@ -102,15 +113,29 @@
     let ready = listen("readiness", listen_at.ready)?;
     let lookups = listen("look-ups", listen_at.lookups)?;
     let metrics = listen("metrics", listen_at.metrics)?;
+    let handed = listen_at
+        .handed
+        .map(|at| listen("requests handed over", at));
+    let handed = handed.transpose()?;
     let cx = make_context(cfg, platform)?;
     spawn_tasks(&cx);
     let limits = request_limits(&cx);
-    let serving = monoio::spawn(serve(
+    let mut serving = vec![monoio::spawn(serve(
         requests,
         request_handler(&cx),
-        limits,
+        limits.clone(),
         cx.stop.clone(),
-    ));
+    ))];
+    if let Some(handed) = handed {
+        let limits = handed_limits(limits);
+        let handler = handed_handler(&cx);
+        serving.push(monoio::spawn(serve(
+            handed,
+            handler,
+            limits,
+            cx.stop.clone(),
+        )));
+    }
     let ended = Flag::new();
     for (listener, handler) in [
         (ready, ready_handler(&cx)),
@@ -168,11 +193,13 @@
         store_way: Cell::new(None),
         relay: RefCell::default(),
         vms: RefCell::default(),
-        most_vms: Cell::new(1),
+        most_vms: Cell::new(0),
         services: RefCell::default(),
         splits: RefCell::default(),
         routes: RefCell::default(),
         kept_bodies: KeepRoom::new(cfg.kept_bodies_bytes()),
+        homes: Homes::default(),
+        handed_token: Secret::new(cfg.secret.as_bytes()).token(HANDED_PURPOSE),
         distances: Distances::default(),
         metrics,
         registry,
@@ -269,7 +296,7 @@
 fn upstream_pool(dialect: &Dialect) -> PoolConfig {
     PoolConfig {
         max_connections: 64,
-        max_idle: Millis(8_000),
+        max_idle: IDLE_KEPT,
         max_idle_once: Millis(2_000),
         connect_timeout: Duration::from_millis(500),
         liveness: LivenessOptions {
@@ -296,13 +323,26 @@
     }
 }
 
+/// Gives the limits of requests that other daemons hand over. Their connections stay open between
+/// requests, since there are few of them and each opened anew costs a round trip.
+fn handed_limits(limits: Limits) -> Limits {
+    Limits {
+        kept_headers: &[hand_over::HANDED],
+        ahead: None,
+        ..limits
+    }
+}
+
 fn spawn_tasks(cx: &Rc<EdgeContext>) {
     presence::refresh(cx);
     let reader = Rc::downgrade(cx);
-    cx.feed
-        .watch_where(move || reader.upgrade().is_none_or(|cx| is_to_read_store(&cx)));
+    let tries = Rc::downgrade(cx);
+    cx.feed.watch_where(
+        move || reader.upgrade().is_none_or(|cx| is_to_read_store(&cx)),
+        move || tries.upgrade().map(|cx| pause_alone(&cx)),
+    );
     monoio::spawn(Rc::clone(&cx.feed).follow());
-    monoio::spawn(presence::run(Rc::clone(cx)));
+    monoio::spawn(enter::run(Rc::clone(cx)));
     monoio::spawn(peer_feed::run(Rc::clone(cx)));
     monoio::spawn(distance::run(Rc::clone(cx)));
     monoio::spawn(tick(Rc::clone(cx)));
@@ -318,6 +358,22 @@
     cx.knows_vms.get() && (relay.reads_store(me) || is_first_reading)
 }
 
+/// Gives the pause between two tries of a store that does not answer, by a VM that is not one of
+/// its readers. A domain's leaders try about once a second, the other VMs together as often as
+/// one of those: who tries matters little, since one that succeeds tells the others.
+///
+/// With every VM trying 2.5 times a second, 295 VMs spent a tenth of what a day was worth on an
+/// outage of nine seconds.
+fn pause_alone(cx: &EdgeContext) -> Millis {
+    let is_leader = cx.relay.borrow().is_leader(&cx.cfg.vm, &cx.cfg.domain);
+    let vms = match is_leader {
+        true => 1,
+        false => presence::alive(cx).len() as u64,
+    };
+    let longest = LEADER_PAUSE.0.saturating_mul(vms).min(LONGEST_ALONE.0);
+    Millis(cx.rng.borrow_mut().u64(longest / 2..=longest.max(1)))
+}
+
 async fn tick(cx: Rc<EdgeContext>) {
     for round in 1_u64.. {
         cx.timer.wait(TICK).await;
@@ -331,6 +387,7 @@
             world
                 .all_upstreams()
                 .for_each(|upstream| upstream.pool.sweep());
+            cx.homes.sweep();
             let version = world.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
         }
@@ -342,6 +399,11 @@
     Rc::new(move |req| Box::pin(forward::handle(Rc::clone(&cx), req)))
 }
 
+fn handed_handler(cx: &Rc<EdgeContext>) -> Handler {
+    let cx = Rc::clone(cx);
+    Rc::new(move |req| Box::pin(hand_over::handle(Rc::clone(&cx), req)))
+}
+
 fn ready_handler(cx: &Rc<EdgeContext>) -> Handler {
     let cx = Rc::clone(cx);
     Rc::new(move |req| {
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -41,6 +41,10 @@
 /// The longest pause between two tries of a store that does not answer.
 const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
 
+/// Gives the pause of a VM that is no watcher between two tries of a store that does not answer,
+/// while the daemon runs.
+type PauseAlone = Rc<dyn Fn() -> Option<Millis>>;
+
 /// The copy of the store's keys, and how it is kept.
 pub struct Feed {
     store: Store,
@@ -56,6 +60,10 @@
     /// When this VM reads all keys itself where it has not heard anything by then.
     patient_until: Cell<Millis>,
     is_watcher: RefCell<Option<Rc<dyn Fn() -> bool>>>,
+    /// Gives the pause between two tries of a VM that is no watcher.
+    pause_alone: RefCell<Option<PauseAlone>>,
+    /// Until when this VM leaves the store alone although it hears nothing.
+    spared_until: Cell<Millis>,
     news: RefCell<Flag>,
 }
 
@@ -74,6 +82,8 @@
             unreachable: Cell::new(false),
             settled_at: Cell::new(Millis(0)),
             is_watcher: RefCell::default(),
+            pause_alone: RefCell::default(),
+            spared_until: Cell::new(Millis(0)),
             news: RefCell::default(),
         })
     }
@@ -83,9 +93,15 @@
         self.mirror.borrow()
     }
 
-    /// Sets what tells whether this VM is one of those that watch the store.
-    pub fn watch_where(&self, is_watcher: impl Fn() -> bool + 'static) {
+    /// Sets what tells whether this VM is one of those that watch the store, and how long it
+    /// waits between two tries of a store that does not answer where it is not.
+    pub fn watch_where(
+        &self,
+        is_watcher: impl Fn() -> bool + 'static,
+        pause_alone: impl Fn() -> Option<Millis> + 'static,
+    ) {
         *self.is_watcher.borrow_mut() = Some(Rc::new(is_watcher));
+        *self.pause_alone.borrow_mut() = Some(Rc::new(pause_alone));
     }
 
     /// Gives an event that happens when a change comes that peers need.
@@ -96,9 +112,32 @@
     /// Says whether this VM is to call the store: it is a watcher, or nobody else has told it
     /// anything lately.
     pub fn is_to_watch(&self) -> bool {
+        let is_spared = self.timer.now() < self.spared_until.get();
+        let is_left_alone = !self.is_fresh() && !self.is_patient() && !is_spared;
+        is_left_alone || self.is_watcher()
+    }
+
+    fn is_watcher(&self) -> bool {
         let is_watcher = self.is_watcher.borrow().clone();
-        let is_left_alone = !self.is_fresh() && !self.is_patient();
-        is_left_alone || is_watcher.is_none_or(|is_watcher| is_watcher())
+        is_watcher.is_none_or(|is_watcher| is_watcher())
+    }
+
+    /// Leaves the store alone for a while, since it did not answer, or peers that can be reached
+    /// hear nothing of it either. Where it is away for all, a try by each VM of a large fleet
+    /// costs more than what the store would tell is worth.
+    pub fn spare_store(&self) {
+        let pause_alone = self.pause_alone.borrow().clone();
+        let pause = pause_alone.and_then(|pause_alone| pause_alone());
+        let until = self.timer.now() + pause.unwrap_or_default();
+        self.spared_until.set(until.max(self.spared_until.get()));
+    }
+
+    /// Notes that a peer answered and has heard nothing of the store lately either. It counts once
+    /// until the store is heard of again, so that the tries of this VM are never put off for good.
+    pub fn note_quiet_peer(&self) {
+        if self.spared_until.get() == Millis(0) {
+            self.spare_store();
+        }
     }
 
     /// Says whether this process has just started and leaves it to its peers to tell it what
@@ -127,27 +166,21 @@
         self.patient_until.set(self.patient_until.get().min(now));
     }
 
-    /// Reads the keys that come first, as many as the store gives at once; says whether those
-    /// were all. The VMs' entries are among them.
+    /// Reads the keys that begin with `prefix`, and no others.
     ///
     /// # Errors
     ///
     /// Fails where the store does not answer.
-    pub async fn read_first(&self) -> Result<bool, StoreError> {
-        let first = RangeRequest {
-            limit: 1,
-            ..RangeRequest::prefix("")
+    pub async fn read_some(&self, prefix: &str, may_be_stale: bool) -> Result<(), StoreError> {
+        let req = RangeRequest {
+            may_be_stale,
+            ..RangeRequest::prefix(prefix)
         };
-        let found = self.store.range(first).await?;
+        let found = self.store.range(req).await?;
         let listed = found.kvs.into_iter().map(Change::from).collect();
-        if found.more {
-            // What else there is, and what changed of it, is not here.
-            self.take_changes(listed, StoreRevision(0), false);
-        } else {
-            self.heard();
-            self.take_list(listed, found.revision, self.is_settled());
-        }
-        Ok(!found.more)
+        // What else there is, and what changed of it, is not here.
+        self.take_changes(listed, StoreRevision(0), false);
+        Ok(())
     }
 
     /// Says whether the store was heard from lately.
@@ -180,6 +213,9 @@
                     failures += 1;
                     forgotten |= matches!(error.source, Cause::Compacted { .. });
                     self.note_failure(&error);
+                    if !self.is_watcher() {
+                        self.spare_store();
+                    }
                 }
             }
             backoff.pause(failures).await;
@@ -304,6 +340,7 @@
             return;
         }
         self.last_word.set(Some(said));
+        self.spared_until.set(Millis(0));
         let quiet = last.map(|last| said.since(last));
         if quiet.is_none_or(|quiet| quiet > QUIET_LIMIT + WATCH_PAUSE) {
             info!(quiet_ms = quiet.unwrap_or_default().0; "the store is heard of");
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -9,6 +9,7 @@
 use crate::call::{self, Call, Unroutable};
 use crate::choose::Prospect;
 use crate::context::EdgeContext;
+use crate::hand_over;
 use crate::pick::{self, Refusal};
 use crate::reply;
 use crate::story::{self, Sent};
@@ -43,13 +44,8 @@
 
 /// Answers a request.
 pub async fn handle(cx: Rc<EdgeContext>, req: Request) -> Response {
-    match call::admit(&cx, req).await {
-        Ok(mut call) => {
-            let mut tries = Tries::default();
-            let response = serve(&cx, &mut call, &mut tries).await;
-            story::tell(&cx, &call, &tries, &response);
-            response
-        }
+    match call::admit(&cx, req, None).await {
+        Ok(call) => answer(&cx, call).await,
         Err(Unroutable::NoCatalog) => reply::not_run("no configuration yet", NO_CATALOG_RETURN),
         Err(Unroutable::NoRoute) => reply::no_route(),
         Err(Unroutable::UnreadRoute) => {
@@ -60,6 +56,18 @@
     }
 }
 
+/// Answers a request that has a route: by the home of its server, or from here.
+pub(crate) async fn answer(cx: &EdgeContext, mut call: Call) -> Response {
+    let mut tries = Tries::default();
+    if let Some(response) = hand_over::hand_over(cx, &mut call, &mut tries).await {
+        return response;
+    }
+    call.state.budget.borrow_mut().request(call.started);
+    let response = serve(cx, &mut call, &mut tries).await;
+    story::tell(cx, &call, &tries, &response);
+    response
+}
+
 async fn serve(cx: &EdgeContext, call: &mut Call, tries: &mut Tries) -> Response {
     while call.body.is_there() {
         let prospect = match pick::pick(cx, call, &tries.servers) {
@@ -112,7 +120,8 @@
 }
 
 impl Tries {
-    fn note_may_have_run(&mut self, cause: &'static str) {
+    /// Notes a send that a server may have run and to which there is no usable answer.
+    pub(crate) fn note_may_have_run(&mut self, cause: &'static str) {
         self.arrived += 1;
         self.may_have_run += 1;
         self.cause = cause;
--- a/crates/edge/src/lookup.rs
+++ b/crates/edge/src/lookup.rs
@@ -32,9 +32,14 @@
         let found: Vec<&VmEntry> = vms.iter().filter(|vm| wanted(vm)).collect();
         (!found.is_empty()).then_some(found)
     })?;
-    let addresses = chosen.iter().map(|vm| vm.requests).take(MAX_ADDRESSES);
+    let mut addresses: Vec<_> = chosen.iter().map(|vm| vm.requests).collect();
+    if addresses.len() > MAX_ADDRESSES {
+        // Each answer names others, or the VMs that are left out would get no callers at all.
+        cx.rng.borrow_mut().shuffle(&mut addresses);
+        addresses.truncate(MAX_ADDRESSES);
+    }
     Some(LookupAnswer {
-        addresses: addresses.collect(),
+        addresses,
         ttl: TTL.min(cx.bounds.max_lookup_ttl),
     })
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,8 @@
     pub latency: HistogramVec,
     /// Sends to backend servers by service and result.
     pub sends: IntCounterVec,
+    /// Requests handed to the homes of their servers, by result.
+    pub handed: IntCounterVec,
     /// Refusals by service and cause.
     pub refusals: IntCounterVec,
     /// Calls on the store by result.
@@ -71,6 +73,11 @@
                 "Sends to backend servers by service and result",
                 &["service", "result"],
             )?,
+            handed: counters(
+                "heatherknot_handed_total",
+                "Requests handed to the homes of their servers, by result",
+                &["result"],
+            )?,
             refusals: counters(
                 "heatherknot_refusals_total",
                 "Refused requests by service and cause",
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -65,6 +65,12 @@
         self.keys.get(key)?.known.value.as_ref()
     }
 
+    /// Gives the revision of the last change of a key that exists.
+    pub fn revision_of(&self, key: &str) -> Option<StoreRevision> {
+        let known = &self.keys.get(key)?.known;
+        known.value.as_ref().map(|_| known.revision)
+    }
+
     /// Gives the keys that begin with `prefix` and exist.
     pub fn with_prefix<'a>(
         &'a self,
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -26,6 +26,8 @@
 const ASK_LIMIT: Millis = Millis(1_100);
 /// The pause after a question that brought nothing of use.
 const FAILED_PAUSE: Millis = Millis(200);
+/// The same while this VM has heard nothing of the store for so long that it counts as away.
+const QUIET_PAUSE: Millis = Millis(700);
 /// The age from which what a peer last heard of the store is too old to go on asking it. Over
 /// two VMs on the way, a word is up to 1.4 s old when all goes well: half a second from one
 /// reading to the next, and an answer held back at each of the two. A peer's own is a hold
@@ -120,9 +122,12 @@
         }
         let is_stale = match ask(&cx, source.as_ref()).await {
             Ok(Some(age)) if age < STALE => continue,
-            Ok(Some(_)) => true,
             // Where VMs start together, the one that is asked may just not have read it yet.
-            Ok(None) => !cx.feed.is_patient(),
+            Ok(None) if cx.feed.is_patient() => false,
+            Ok(_) => {
+                note_quiet_peer(&cx);
+                true
+            }
             Err(error) => {
                 debug!(error:% = error; "a peer could not be asked for what changed");
                 true
@@ -131,7 +136,23 @@
         if let Some(vm) = source.filter(|_| is_stale) {
             avoided.insert(vm, cx.now() + AVOID_FOR);
         }
-        cx.timer.wait(FAILED_PAUSE).await;
+        cx.timer.wait(failed_pause(&cx)).await;
+    }
+}
+
+/// Leaves the tries of a store that is away for peers as well to the leaders of domains.
+fn note_quiet_peer(cx: &EdgeContext) {
+    if !cx.relay.borrow().is_leader(&cx.cfg.vm, &cx.cfg.domain) {
+        cx.feed.note_quiet_peer();
+    }
+}
+
+/// Gives the pause after a question that brought nothing of use. It is longer while the store is
+/// away for everybody, who would otherwise all ask each other five times a second.
+fn failed_pause(cx: &EdgeContext) -> Millis {
+    match cx.feed.is_fresh() || cx.feed.is_patient() {
+        true => FAILED_PAUSE,
+        false => QUIET_PAUSE,
     }
 }
 
@@ -166,7 +187,7 @@
 }
 
 /// Gives the VM to ask: the best source that is not to be avoided, or any VM where there is
-/// none and the store does not answer either.
+/// none and the store does not answer either. After any VM the best sources come again.
 ///
 /// A source that is cut off from the store goes on answering. Whoever went on asking it would
 /// hear nothing for as long as the cut lasts, and be thrown back on the store itself together
@@ -176,7 +197,16 @@
     avoided.retain(|_, until| *until > now);
     let sources = cx.relay.borrow().sources(&cx.cfg.vm, &cx.cfg.domain);
     let usable = sources.into_iter().find(|vm| !avoided.contains_key(vm));
-    usable.or_else(|| cx.membership.random_peer().filter(|_| cx.feed.is_cut_off()))
+    if usable.is_some() {
+        return usable;
+    }
+    let has_lost_the_store = cx.feed.age().is_some() && !cx.feed.is_fresh();
+    let any = cx.membership.random_peer();
+    let any = any.filter(|_| cx.feed.is_cut_off() || has_lost_the_store);
+    if any.is_some() {
+        avoided.clear();
+    }
+    any
 }
 
 fn take(cx: &EdgeContext, answer: Changes) {
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -6,7 +6,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::call::Call;
-use crate::choose::{Prospect, Wish, choose};
+use crate::choose::{self, Place, Prospect, Wish, choose};
 use crate::context::EdgeContext;
 use crate::switches::Mechanism;
 use crate::upstream::Upstream;
@@ -50,18 +50,9 @@
         return Err(refuse("the time ran out", USUAL_RETURN));
     }
     let candidates = candidates(cx, call, tried, now);
-    let wish = Wish {
-        object: call.object,
-        sticky: call.route.sticky,
-        region: &cx.region,
-        domain: &cx.cfg.domain,
-        target: call.route.latency_target,
-        left,
-        now,
-        switches: cx.switches,
-    };
-    let route = cx.route(&call.route.name);
-    let place = route.place(call.object, &call.state.spill, cx.switches);
+    let is_home = |u: &Upstream| is_home(cx, u);
+    let wish = wish(cx, call, now, &is_home);
+    let place = place(cx, call);
     let Some(best) = choose(&wish, &candidates, &call.state.pace, place) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
     };
@@ -84,6 +75,54 @@
     Ok(best)
 }
 
+/// Gives the server that gets a request where it has room, as all VMs work it out alike; nothing
+/// where none that is warm may get it.
+pub(crate) fn first(cx: &EdgeContext, call: &Call) -> Option<Rc<Upstream>> {
+    let now = cx.now();
+    let warm = warm_candidates(cx, call, &[], now);
+    let is_home = |u: &Upstream| is_home(cx, u);
+    choose::first(&wish(cx, call, now, &is_home), &warm, place(cx, call))
+}
+
+fn wish<'a>(
+    cx: &'a EdgeContext,
+    call: &'a Call,
+    now: Millis,
+    is_home: &'a dyn Fn(&Upstream) -> bool,
+) -> Wish<'a> {
+    Wish {
+        object: call.object,
+        sticky: call.route.sticky,
+        region: &cx.region,
+        domain: &cx.cfg.domain,
+        target: call.route.latency_target,
+        left: call.left(now),
+        now,
+        switches: cx.switches,
+        named: call.meant.as_ref(),
+        is_home,
+    }
+}
+
+fn is_home(cx: &EdgeContext, upstream: &Upstream) -> bool {
+    let is_here = upstream.domain == cx.cfg.domain;
+    is_here
+        && cx
+            .homes
+            .of(upstream, &cx.vms.borrow())
+            .is_some_and(|home| home.vm == cx.cfg.vm)
+}
+
+/// Gives where the object of a request is served. One that was handed over is served in the
+/// region that the other VM has chosen, which is that of its server's home.
+fn place(cx: &EdgeContext, call: &Call) -> Place {
+    if call.meant.is_some() {
+        return Place::Region;
+    }
+    let route = cx.route(&call.route.name);
+    route.place(call.object, &call.state.spill, cx.switches)
+}
+
 /// Gives the longest expected time with which a request still waits in a server's queue, in
 /// milliseconds.
 ///
@@ -114,30 +153,44 @@
     tried: &[UpstreamName],
     now: Millis,
 ) -> Vec<Rc<Upstream>> {
-    let world = cx.world.borrow();
-    let homes = &call.route.home_regions;
-    let all = world.upstreams(&call.service);
-    let eligible: Vec<Rc<Upstream>> = all
-        .iter()
-        .filter(|u| {
-            u.takes_requests()
-                && !world.is_evacuated(&u.domain)
-                && (homes.is_empty() || homes.contains(&u.region))
-                && u.is_reachable(now)
-                && !tried.contains(&u.id)
-        })
-        .cloned()
-        .collect();
-    let warm: Vec<_> = eligible
-        .iter()
-        .filter(|u| !u.is_cold(now))
-        .cloned()
-        .collect();
+    let warm = warm_candidates(cx, call, tried, now);
     if !warm.is_empty() {
         return warm;
     }
+    let cold = eligible(cx, call, tried, now, |_| true);
     let may = |u: &Rc<Upstream>| take_cold_turn(cx, call, u, now);
-    eligible.into_iter().find(may).into_iter().collect()
+    cold.into_iter().find(may).into_iter().collect()
+}
+
+fn warm_candidates(
+    cx: &EdgeContext,
+    call: &Call,
+    tried: &[UpstreamName],
+    now: Millis,
+) -> Vec<Rc<Upstream>> {
+    eligible(cx, call, tried, now, |u| !u.is_cold(now))
+}
+
+/// Gives the servers of which `wanted` holds that may run the request and can be reached.
+fn eligible(
+    cx: &EdgeContext,
+    call: &Call,
+    tried: &[UpstreamName],
+    now: Millis,
+    wanted: impl Fn(&Upstream) -> bool,
+) -> Vec<Rc<Upstream>> {
+    let world = cx.world.borrow();
+    let homes = &call.route.home_regions;
+    let all = world.upstreams(&call.service);
+    let eligible = all.iter().filter(|u| {
+        u.takes_requests()
+            && wanted(u)
+            && !world.is_evacuated(&u.domain)
+            && (homes.is_empty() || homes.contains(&u.region))
+            && u.is_reachable(now)
+            && !tried.contains(&u.id)
+    });
+    eligible.cloned().collect()
 }
 
 /// Says whether this VM may send a request to a cold server now, and notes it.
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -1,4 +1,4 @@
-//! Which VMs there are: an entry of each in the store, tied to a lease, and the peers' word.
+//! Which VMs there are: an entry of each in the store, and the peers' word.
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -7,29 +7,20 @@
 
 use bytes::Bytes;
 use heatherknot_peer::MemberState;
-use heatherknot_store::error::{Cause, StoreError};
-use heatherknot_store::port::{Lease, LeaseId, Op, Txn};
+use heatherknot_store::port::StoreRevision;
 use heatherknot_store::vm_list::{VmList, VmRecord, VmState};
 use heatherknot_types::prelude::*;
-use log::{info, warn};
+use log::warn;
 use serde::{Deserialize, Serialize};
 
 use crate::context::EdgeContext;
 use crate::feed::Feed;
 use crate::relay::Relay;
+use crate::switches::Mechanism;
 
-/// The beginning of the keys of VMs.
+/// The beginning of the keys of VMs. The failure domain and the name follow, so that a VM that
+/// starts can read the few entries of its own domain.
 const VM_KEYS: &str = "hk/vm/";
-/// How long an entry outlives its VM. A VM that is gone must leave look-up answers within a
-/// few seconds; a lease much shorter would be lost at each hiccup of the store.
-const LEASE: Millis = Millis(6_000);
-/// How often the lease is extended, so that two extensions may fail.
-const EXTEND_EVERY: Millis = Millis(2_000);
-/// How long a new VM waits for the entries of others that may have started with it. The way to
-/// the store and back takes those in far regions three tenths of a second.
-const STARTED_TOGETHER: Millis = Millis(400);
-/// How long a written entry may take to show in the copy of the store's keys.
-const SHOWN_AFTER: Millis = Millis(2_500);
 
 /// One VM, as its entry says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,6 +40,12 @@
     /// What its link carries each way, in megabits a second; zero where it is not known.
     #[serde(default)]
     pub link_mbps: u32,
+    /// The thousandths of a core that it has; zero where that is not known.
+    #[serde(default)]
+    pub cpu_permille: u32,
+    /// Where its daemon takes requests that others hand over, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub handed: Option<SocketAddr>,
     /// How long the store took to answer it, once that was measured.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub store_way: Option<Millis>,
@@ -64,6 +61,28 @@
     parsed: RefCell<HashMap<String, (Bytes, Option<VmEntry>)>>,
 }
 
+impl VmEntry {
+    /// Gives the key of its entry.
+    pub fn key(&self) -> String {
+        format!("{}{}", domain_keys(&self.domain), self.name)
+    }
+
+    /// Says whether `other` tells callers and peers the same, whichever run wrote it.
+    pub fn says_the_same(&self, other: &VmEntry) -> bool {
+        let own = Self {
+            incarnation: other.incarnation,
+            store_way: other.store_way,
+            ..self.clone()
+        };
+        own == *other
+    }
+}
+
+/// Gives the beginning of the keys of a domain's VMs.
+pub fn domain_keys(domain: &DomainName) -> String {
+    format!("{VM_KEYS}{domain}/")
+}
+
 impl VmEntries {
     /// Makes a reader of the entries that `feed` holds.
     pub fn new(feed: Rc<Feed>) -> Self {
@@ -122,7 +141,14 @@
         vms.push(own_entry(cx));
     }
     cx.metrics.vms.set(vms.len() as i64);
-    cx.most_vms.set(cx.most_vms.get().max(vms.len()));
+    if cx.feed.mirror().at() > StoreRevision(0) {
+        cx.most_vms.set(cx.most_vms.get().max(vms.len()));
+    }
+    vms.sort_by(|a, b| a.name.cmp(&b.name));
+    if **cx.vms.borrow() == vms {
+        return;
+    }
+    cx.homes.vms_changed(&vms);
     *cx.relay.borrow_mut() = Rc::new(Relay::new(&vms));
     *cx.vms.borrow_mut() = Rc::new(vms);
 }
@@ -148,7 +174,7 @@
     }
 }
 
-fn own_entry(cx: &EdgeContext) -> VmEntry {
+pub(crate) fn own_entry(cx: &EdgeContext) -> VmEntry {
     VmEntry {
         name: cx.cfg.vm.clone(),
         domain: cx.cfg.domain.clone(),
@@ -157,114 +183,12 @@
         peers: cx.cfg.listen.peers,
         incarnation: cx.incarnation,
         link_mbps: cx.cfg.link_mbps.unwrap_or_default() as u32,
+        cpu_permille: (cx.cfg.cpu_share.unwrap_or_default() * 1000.0) as u32,
+        handed: cx
+            .cfg
+            .listen
+            .handed
+            .filter(|_| cx.switches.has(Mechanism::HandOver)),
         store_way: cx.store_way.get(),
     }
 }
-
-/// Keeps this VM's entry in the store until it leaves, and then takes it away.
-pub async fn run(cx: Rc<EdgeContext>) {
-    let found = find_vms(&cx).await;
-    let mut lease: Option<Lease> = None;
-    let mut written = Millis(0);
-    while !cx.leaving.is_fired() {
-        let shown = is_shown(&cx) || cx.now().since(written) < SHOWN_AFTER;
-        let held = match lease {
-            Some(held) if shown => extend(&cx, held).await,
-            _ => {
-                written = cx.now();
-                enter(&cx).await
-            }
-        };
-        if !cx.knows_vms.get() {
-            find_new_vms(&cx, found).await;
-        }
-        lease = match held {
-            Ok(held) => Some(held),
-            Err(error) if error.source == Cause::LeaseNotFound => None,
-            Err(error) => {
-                info!(step:% = error.step, error:% = error.source; "this VM's entry could not be kept up");
-                lease
-            }
-        };
-        let leaving = cx.leaving.wait();
-        futures_util::future::select(cx.timer.wait(EXTEND_EVERY), leaving).await;
-    }
-    if let Some(held) = lease {
-        withdraw(&cx, held.id).await;
-    }
-}
-
-/// Reads which VMs there are, after a start; says whether the store answered. Where the store
-/// holds little, the same answer holds everything.
-///
-/// Where this VM's last run has left its entry, so have those of all VMs that were killed
-/// together, and who is to read the whole list is known at once. Serving again soon matters
-/// most then.
-async fn find_vms(cx: &EdgeContext) -> bool {
-    match cx.feed.read_first().await {
-        Ok(is_all) => {
-            let entries = cx.entries.read();
-            let was_here = entries.iter().any(|entry| entry.name == cx.cfg.vm);
-            refresh(cx);
-            cx.knows_vms.set(was_here || is_all);
-            true
-        }
-        Err(error) => {
-            info!(step:% = error.step, error:% = error.source; "the VMs' entries can't be read");
-            cx.feed.end_patience();
-            cx.knows_vms.set(true);
-            false
-        }
-    }
-}
-
-/// Reads once more which VMs there are, once this VM's own entry is there and those of VMs that
-/// have started with it.
-async fn find_new_vms(cx: &EdgeContext, store_answered: bool) {
-    if store_answered {
-        cx.timer.wait(STARTED_TOGETHER).await;
-        find_vms(cx).await;
-    }
-    cx.knows_vms.set(true);
-}
-
-/// Says whether the store still shows the entry of this run. It may have been taken away
-/// without a word; a copy that is out of date can't tell.
-fn is_shown(cx: &EdgeContext) -> bool {
-    let key = format!("{VM_KEYS}{}", cx.cfg.vm);
-    let mirror = cx.feed.mirror();
-    let entry: Option<VmEntry> = mirror
-        .get(&key)
-        .and_then(|v| serde_json::from_slice(v).ok());
-    !cx.feed.is_fresh() || entry.is_some_and(|entry| entry.incarnation == cx.incarnation)
-}
-
-async fn extend(cx: &EdgeContext, held: Lease) -> Result<Lease, StoreError> {
-    (cx.store.lease_keepalive)(held.id).await
-}
-
-async fn enter(cx: &EdgeContext) -> Result<Lease, StoreError> {
-    let shortest = Millis((cx.cfg.store.min_lease_s * 1000.0).ceil() as u64);
-    let began = cx.now();
-    let lease = (cx.store.lease_grant)(LEASE.max(shortest)).await?;
-    cx.store_way.set(Some(cx.now().since(began)));
-    let value = serde_json::to_vec(&own_entry(cx)).expect("an entry always serialises");
-    let put = Op::Put {
-        key: format!("{VM_KEYS}{}", cx.cfg.vm),
-        value: value.into(),
-        lease: lease.id,
-    };
-    let txn = Txn {
-        success: vec![put],
-        ..Txn::default()
-    };
-    cx.store.txn(txn).await?;
-    info!(vm:% = cx.cfg.vm, lease = lease.id.0, ttl_ms = lease.ttl.0; "this VM has entered itself in the store");
-    Ok(lease)
-}
-
-async fn withdraw(cx: &EdgeContext, id: LeaseId) {
-    if let Err(error) = (cx.store.lease_revoke)(id).await {
-        info!(error:% = error; "this VM's entry could not be withdrawn; its lease will end");
-    }
-}
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Says whether its requests carry much.
+    pub fn is_large(&self) -> bool {
+        self.is_large.get()
+    }
+
     /// Gives where an object is served, if `spill` sends a part of its service's objects away.
     ///
     /// What carries much stays: where a region's servers are too few, others are sent away in its
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -57,6 +57,26 @@
         self.leaders.get(domain).and_then(|vms| vms.first()) == Some(vm)
     }
 
+    /// Says whether `vm` is one of those that the others of `domain` ask.
+    pub fn is_leader(&self, vm: &VmName, domain: &DomainName) -> bool {
+        let leaders = self.leaders.get(domain);
+        leaders.is_some_and(|leaders| leaders.contains(vm))
+    }
+
+    /// Says whether any VM of `domain` is there.
+    pub fn has_vms(&self, domain: &DomainName) -> bool {
+        self.leaders.contains_key(domain)
+    }
+
+    /// Says whether `vm` is the one that deletes the entries of VMs of `domain` that are gone: the
+    /// head of the domain, or the first one that reads the store where nobody is left there.
+    pub fn keeps_entries_of(&self, vm: &VmName, domain: &DomainName) -> bool {
+        match self.has_vms(domain) {
+            true => self.is_head(vm, domain),
+            false => self.readers.first() == Some(vm),
+        }
+    }
+
     /// Gives whom `vm` of `domain` asks what changed, the best one first.
     ///
     /// The leaders of a domain ask those that read the store, each in an order of its own,
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -32,10 +32,17 @@
     /// What this VM's link carries each way, in megabits a second, where it is known.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// The part of a core that this VM has, where it is known.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
     /// The memory, in megabytes, for long request bodies that may have to be sent again. Bodies
     /// beyond it can be sent once only.
     #[serde(default = "default_kept_bodies_mb")]
     pub kept_bodies_mb: u32,
+    /// The requests for each backend server of a service, within the time for which an idle
+    /// connection to one is kept, below which this daemon hands requests to the servers' homes.
+    #[serde(default = "default_hand_over_below")]
+    pub hand_over_below: f64,
     /// Mechanisms of the decisions that are switched off, to measure what they are worth.
     #[serde(default)]
     pub off: Vec<Mechanism>,
@@ -56,6 +63,11 @@
     32
 }
 
+/// With less than one request in the time for which a connection is kept, most requests open one.
+fn default_hand_over_below() -> f64 {
+    1.0
+}
+
 impl EdgeConfig {
     /// Gives the memory for long request bodies, in bytes.
     pub fn kept_bodies_bytes(&self) -> u64 {
@@ -77,6 +89,10 @@
     pub peers: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
+    /// For requests that other daemons hand to this one. Without it this daemon hands none over
+    /// and takes none.
+    #[serde(default)]
+    pub handed: Option<SocketAddr>,
 }
 
 /// The platform's store.
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -16,7 +16,7 @@
 const FINISHED_PART: f64 = 0.95;
 
 /// Stops the daemon without cutting a request, within the grace time.
-pub(crate) async fn run(cx: &Rc<EdgeContext>, serving: JoinHandle<()>) {
+pub(crate) async fn run(cx: &Rc<EdgeContext>, serving: Vec<JoinHandle<()>>) {
     let began = cx.now();
     cx.leaving.fire();
     presence::refresh(cx);
@@ -25,7 +25,9 @@
     log::info!(taking_ms = taking.0; "leaving; requests are still taken for a while");
     cx.timer.wait(taking).await;
     cx.stop.fire();
-    serving.await;
+    for served in serving {
+        served.await;
+    }
     log::info!(took_ms = cx.now().since(began).0; "stopped");
     cx.net.close();
 }
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -30,6 +30,8 @@
     HangingServers,
     /// Work without a kept object counts more than its time.
     ColdCost,
+    /// Requests are handed to the home of their backend server.
+    HandOver,
     /// Requests sent ahead are handled side by side.
     Ahead,
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -13,6 +13,8 @@
 /// Objects that are remembered of one backend server. Servers keep tens of objects at most,
 /// and one that was forgotten here is only taken for slower than it is.
 const MAX_OBJECTS: usize = 256;
+/// How long an idle connection to a backend server is kept.
+pub const IDLE_KEPT: Millis = Millis(8_000);
 /// How long a handled object is taken for kept.
 const OBJECT_KEPT: Millis = Millis(60_000);
 /// The weight of one response in the average of what other VMs have running.
@@ -80,6 +82,11 @@
 }
 
 impl ServerLoad {
+    /// Gives the requests for each slot.
+    pub fn per_slot(self) -> f64 {
+        f64::from(self.running + self.waiting) / f64::from(self.slots.max(1))
+    }
+
     /// Reads `running,waiting,slots`.
     pub fn parse(text: &str) -> Option<Self> {
         let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
--- a/crates/edge/src/world.rs
+++ b/crates/edge/src/world.rs
@@ -21,6 +21,9 @@
 const MAX_ENDED: usize = 1_024;
 /// Lines that are logged at most of what can't be read in one configuration.
 const MAX_REMARKS: usize = 8;
+/// Changes that come at once of which each server that joins is logged. A VM that starts reads
+/// thousands of entries; a line for each took it a third of a second of a tenth of a core.
+const MAX_TOLD: usize = 64;
 /// Bytes of a cause that are logged at most. A cause repeats what it found, which anybody may
 /// have written.
 const MAX_CAUSE: usize = 200;
@@ -40,6 +43,8 @@
     missing: BTreeSet<UpstreamName>,
     /// The runs of backend servers whose entries are gone, oldest first.
     ended: VecDeque<(UpstreamName, Millis)>,
+    /// Whether each server that joins is told of in the log.
+    tells_each: bool,
 }
 
 impl World {
@@ -62,6 +67,7 @@
             evacuated: BTreeSet::new(),
             missing: BTreeSet::new(),
             ended: VecDeque::new(),
+            tells_each: true,
         }
     }
 
@@ -95,6 +101,8 @@
     /// server may be the store's doing, and the server is kept until [`World::settle`].
     pub fn take(&mut self, changes: &[Change], settled: bool) {
         let mut regrouped = false;
+        let before = self.upstreams.len();
+        self.tells_each = changes.len() <= MAX_TOLD;
         for change in changes {
             let keys = self.dialect.keys.clone();
             if change.key == keys.catalog {
@@ -108,6 +116,9 @@
         if regrouped {
             self.regroup();
         }
+        if !self.tells_each {
+            info!(changes = changes.len(), before, servers = self.upstreams.len(); "many entries of backend servers were read");
+        }
     }
 
     /// Says whether peers need a change: an entry by which a backend server only says that
@@ -259,8 +270,10 @@
         let region = self.region_of(&reg.domain);
         let upstream = Rc::new(Upstream::new(reg, region, self.pool.clone(), &self.clock));
         refresh(&upstream, reg, now);
-        info!(upstream:% = reg.id, service:% = reg.service, address:% = reg.address, domain:% = reg.domain,
-            slots = reg.slots, leaving = reg.leaving, cold_ms = reg.cold_left.0; "backend server joined");
+        if self.tells_each {
+            info!(upstream:% = reg.id, service:% = reg.service, address:% = reg.address, domain:% = reg.domain,
+                slots = reg.slots, leaving = reg.leaving, cold_ms = reg.cold_left.0; "backend server joined");
+        }
         self.upstreams.insert(reg.id.clone(), upstream);
         true
     }
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -29,6 +29,8 @@
         left: Millis(1_500),
         now,
         switches: Switches::default(),
+        named: None,
+        is_home: &|_| false,
     }
 }
 
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -29,7 +29,7 @@
     let world = Rc::new(RefCell::new(world(&clock.clock())));
     let settle = Millis(2_500);
     let feed = Feed::new(silent_store(), clock.timer(), Rc::clone(&world), settle);
-    feed.watch_where(|| false);
+    feed.watch_where(|| false, || None);
     feed.end_patience();
     (feed, world)
 }
@@ -151,7 +151,7 @@
     let clock = TestClock::default();
     let world = Rc::new(RefCell::new(world(&clock.clock())));
     let feed = Feed::new(silent_store(), clock.timer(), world, Millis(2_500));
-    feed.watch_where(|| false);
+    feed.watch_where(|| false, || None);
     assert!(!feed.is_to_watch(), "peers may tell it");
 
     clock.advance(2_100);
@@ -160,3 +160,59 @@
     feed.heard_from_peer(Millis(100));
     assert!(!feed.is_to_watch(), "somebody does now");
 }
+
+/// Story: the store is away for nine seconds. Each of three hundred VMs tries it every 0.4 s for
+/// as long, seven thousand calls that tell nothing, and each call costs as much as three requests.
+#[test]
+fn a_vm_whose_peers_hear_nothing_either_leaves_the_store_alone() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (feed, _) = feed(&clock);
+    feed.watch_where(|| false, || Some(Millis(30_000)));
+    feed.heard_from_peer(Millis(0));
+
+    clock.advance(1_300);
+    feed.note_quiet_peer();
+    clock.advance(9_000);
+    assert!(!feed.is_to_watch(), "its peers would tell it");
+
+    feed.heard_from_peer(Millis(50));
+    clock.advance(2_000);
+    assert!(
+        feed.is_to_watch(),
+        "no peer has told it anything since the store was back"
+    );
+}
+
+/// Story: a VM and the peers that it asks are turned away by the store for good, which serves the
+/// others. Each answer that tells nothing puts its next own try off once more, and it never finds
+/// out that the store takes it again.
+#[test]
+fn quiet_peers_put_a_try_off_once_and_not_for_good() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (feed, _) = feed(&clock);
+    feed.watch_where(|| false, || Some(Millis(5_000)));
+    feed.heard_from_peer(Millis(0));
+
+    clock.advance(1_300);
+    for _ in 0..10 {
+        feed.note_quiet_peer();
+        assert!(!feed.is_to_watch());
+        clock.advance(500);
+    }
+
+    assert!(feed.is_to_watch());
+}
+
+#[test]
+fn a_watcher_tries_the_store_whatever_its_peers_hear() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (feed, _) = feed(&clock);
+    feed.watch_where(|| true, || Some(Millis(30_000)));
+
+    feed.note_quiet_peer();
+
+    assert!(feed.is_to_watch());
+}
--- /dev/null
+++ b/crates/edge/tests/homes.rs
@@ -0,0 +1,213 @@
+//! Which VM is the home of a backend server, and what handing requests to it saves.
+
+mod support;
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use heatherknot_edge::hand_over::HandedWord;
+use heatherknot_edge::homes::{Homes, home_of};
+use heatherknot_edge::presence::VmEntry;
+use heatherknot_edge::upstream::Upstream;
+use heatherknot_types::prelude::*;
+use support::{TestClock, upstream};
+
+fn vm(name: &str, domain: &str, (cpu_permille, link_mbps): (u32, u32)) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        domain: domain.into(),
+        region: domain.into(),
+        requests: "127.0.0.1:1".parse().expect("an address"),
+        peers: "127.0.0.1:2".parse().expect("an address"),
+        incarnation: Incarnation(1),
+        link_mbps,
+        cpu_permille,
+        handed: Some("127.0.0.1:3".parse().expect("an address")),
+        store_way: None,
+    }
+}
+
+const TOKEN: &str = "token";
+const WIDE: (u32, u32) = (500, 200);
+const NARROW: (u32, u32) = (100, 20);
+
+/// Domains of three wide VMs and thirty narrow ones.
+fn vms(domains: &[&str]) -> Vec<VmEntry> {
+    let of = |domain: &&str| {
+        let wide = (0..3).map(|i| vm(&format!("{domain}-wide-{i}"), domain, WIDE));
+        let narrow = (0..30).map(|i| vm(&format!("{domain}-narrow-{i}"), domain, NARROW));
+        wide.chain(narrow).collect::<Vec<_>>()
+    };
+    domains.iter().flat_map(of).collect()
+}
+
+fn servers(domain: &str, count: usize, clock: &Clock) -> Vec<Rc<Upstream>> {
+    let id = |i| format!("{domain}-server-{i}");
+    (0..count)
+        .map(|i| upstream(&id(i), domain, clock))
+        .collect()
+}
+
+#[test]
+fn every_vm_finds_the_same_home_in_the_servers_own_domain() {
+    let clock = TestClock::default().clock();
+    let one = vms(&["a", "b"]);
+    let mut other = one.clone();
+    other.reverse();
+    for server in servers("a", 100, &clock) {
+        let home = home_of(&server, &one).expect("there are VMs");
+        assert_eq!(Some(&home), home_of(&server, &other).as_ref());
+        assert!(home.vm.as_str().starts_with("a-"));
+    }
+}
+
+#[test]
+fn a_domain_without_vms_that_take_requests_has_no_home() {
+    let clock = TestClock::default().clock();
+    let mut vms = vms(&["a"]);
+    vms.iter_mut().for_each(|vm| vm.handed = None);
+    let server = upstream("s", "a", &clock);
+    assert_eq!(home_of(&server, &vms), None);
+    assert_eq!(home_of(&server, &[]), None);
+}
+
+#[test]
+fn when_a_vm_goes_only_its_own_servers_get_another_home() {
+    let clock = TestClock::default().clock();
+    let (before, servers) = (vms(&["a"]), servers("a", 300, &clock));
+    let after: Vec<VmEntry> = before[1..].to_vec();
+    for server in &servers {
+        let home = home_of(server, &before).expect("there are VMs");
+        if home.vm != before[0].name {
+            assert_eq!(Some(home), home_of(server, &after));
+        }
+    }
+}
+
+#[test]
+fn homes_are_looked_for_anew_when_there_are_other_vms() {
+    let clock = TestClock::default().clock();
+    let (all, server) = (vms(&["a"]), upstream("s", "a", &clock));
+    let homes = Homes::default();
+    let first = homes.of(&server, &all).expect("there are VMs");
+    let others: Vec<VmEntry> = all.into_iter().filter(|vm| vm.name != first.vm).collect();
+
+    homes.vms_changed(&others);
+
+    let second = homes.of(&server, &others).expect("there are others");
+    assert_ne!(first.vm, second.vm);
+}
+
+/// Pattern: more pairs of VMs and backend servers than requests.
+///
+/// Story: each of 297 VMs gets 16 requests a second for objects that 1,600 servers keep. Nine in
+/// ten find no open connection to their server; across regions each waits a round trip more for
+/// one, and no VM hears of a server often enough to know its load.
+///
+/// Grounds: 297 VMs, three in 33 of them wide, 1,600 servers in nine domains and 4,800 requests
+/// a second are the largest deployment served; a connection is kept for eight seconds at a server and for
+/// forty between VMs.
+#[test]
+fn requests_that_go_over_homes_find_open_connections() {
+    let clock = TestClock::default().clock();
+    let domains = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+    let vms = vms(&domains);
+    let servers: Vec<_> = domains
+        .iter()
+        .flat_map(|d| servers(d, 178, &clock))
+        .collect();
+    let homes: Vec<VmName> = servers
+        .iter()
+        .map(|s| home_of(s, &vms).expect("there are VMs").vm)
+        .collect();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (a_second, seconds) = (4_800_u64, 30_u64);
+    let mut direct: HashMap<(usize, usize), u64> = HashMap::new();
+    let mut over_homes = HashSet::new();
+    let (mut new_direct, mut new_over_homes) = (0_u64, 0_u64);
+
+    for request in 0..a_second * seconds {
+        let at = request * 1_000 / a_second;
+        let (from, to) = (rng.usize(..vms.len()), rng.usize(..servers.len()));
+        let last = direct.insert((from, to), at);
+        new_direct += u64::from(last.is_none_or(|last| at - last > 8_000));
+        let is_own = homes[to] == vms[from].name;
+        new_over_homes += u64::from(!is_own && over_homes.insert((from, homes[to].clone())));
+    }
+
+    let all = a_second * seconds;
+    assert!(new_direct > all * 9 / 10, "{new_direct} of {all}");
+    assert!(new_over_homes < all / 3, "{new_over_homes} of {all}");
+}
+
+/// Pattern: few wide VMs among many narrow ones.
+///
+/// Story: the servers of a domain are spread evenly over its VMs. A narrow VM meets as many
+/// requests as a wide one that could carry fifty times as much, and most connections lead to
+/// VMs that are asked once in ten seconds.
+#[test]
+fn wide_vms_are_the_home_of_most_servers() {
+    let clock = TestClock::default().clock();
+    let vms = vms(&["a"]);
+    let servers = servers("a", 600, &clock);
+    let is_wide = |s: &&Rc<Upstream>| {
+        let home = home_of(s, &vms).expect("there are VMs");
+        home.vm.as_str().contains("wide")
+    };
+    let at_wide = servers.iter().filter(is_wide).count();
+    assert!(at_wide > 400, "{at_wide}");
+    assert!(at_wide < 600, "narrow ones take their part");
+}
+
+#[test]
+fn a_word_is_read_as_it_was_written() {
+    let word = HandedWord {
+        version: 12,
+        service: "gallery".into(),
+        server: "i-7".into(),
+    };
+    let value = word
+        .to_value(TOKEN)
+        .expect("these names can stand in a header");
+    assert_eq!(
+        HandedWord::parse(value.to_str().expect("text"), TOKEN),
+        Some(word)
+    );
+}
+
+/// Story: somebody who is no VM of the deployment reaches the address at which requests are handed
+/// over, and names the server that is to get all of them.
+#[test]
+fn a_word_with_another_token_names_nothing() {
+    for text in [
+        "another 12 gallery i-7",
+        "toke 12 gallery i-7",
+        "12 gallery i-7",
+    ] {
+        assert_eq!(HandedWord::parse(text, TOKEN), None, "{text}");
+    }
+}
+
+#[test]
+fn a_word_that_is_not_whole_names_nothing() {
+    for text in [
+        "",
+        "12",
+        "12 gallery",
+        "12  i-7",
+        "x gallery i-7",
+        "1 a b c",
+    ] {
+        assert_eq!(
+            HandedWord::parse(&format!("{TOKEN} {text}"), TOKEN),
+            None,
+            "{text}"
+        );
+    }
+    let with_space = HandedWord {
+        version: 1,
+        service: "two words".into(),
+        server: "i-7".into(),
+    };
+    assert_eq!(with_space.to_value(TOKEN), None);
+}
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -15,6 +15,8 @@
         peers: "127.0.0.1:2".parse().expect("an address"),
         incarnation: Incarnation(1),
         link_mbps: 100,
+        cpu_permille: 200,
+        handed: None,
         store_way: store_way.map(Millis),
     }
 }
--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -21,6 +21,8 @@
 pub const HANDSHAKE_LIMIT: usize = 1024;
 
 const NONCE_BYTES: usize = 16;
+/// Bytes of a token: 128 bits, as in a message's code.
+const TOKEN_BYTES: usize = 16;
 
 /// The secret that all daemons of one deployment share; never logged.
 #[derive(Clone)]
@@ -32,6 +34,17 @@
         Self(bytes.into())
     }
 
+    /// Gives a word that only holders of the secret can make, one for each `purpose`. Whoever reads
+    /// it on the way can use it as well, so it proves less than the handshake does.
+    pub fn token(&self, purpose: &str) -> String {
+        let mut mac = self.mac();
+        push_mac(&mut mac, b"token");
+        push_mac(&mut mac, purpose.as_bytes());
+        let code = mac.finalize().into_bytes();
+        let hex = code.iter().take(TOKEN_BYTES).map(|b| format!("{b:02x}"));
+        hex.collect()
+    }
+
     fn mac(&self) -> MacState {
         MacState::new_from_slice(&self.0).expect("HMAC takes a key of any length")
     }
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -55,6 +55,9 @@
     pub end: Option<String>,
     /// The most keys to return; zero for no limit.
     pub limit: u32,
+    /// Whether an answer that is seconds old will do. A store may give such answers at less
+    /// cost; one that can't gives a current one.
+    pub may_be_stale: bool,
 }
 
 impl RangeRequest {
@@ -64,6 +67,7 @@
             key: key.into(),
             end: None,
             limit: 0,
+            may_be_stale: false,
         }
     }
 
@@ -75,6 +79,7 @@
             key,
             end: Some(end),
             limit: 0,
+            may_be_stale: false,
         }
     }
 
@@ -84,6 +89,7 @@
             key: first.into(),
             end: Some(end.into()),
             limit: 0,
+            may_be_stale: false,
         }
     }
 
