Leave out VMs of which no peer has ever said anything, and delete their entries

Found by a test of the deletion of entries: a VM that was lost before all others started is in the store, answers nobody, and so no peer ever says that it is gone. Its domain's VMs now leave it out after four seconds and the head deletes the entry after six.

--- a/crates/edge/src/enter.rs
+++ b/crates/edge/src/enter.rs
@@ -33,6 +33,9 @@
 /// The same where no VM of its domain is there. A domain that lost its power as a whole mostly
 /// comes back, and all its VMs would have to enter themselves again.
 const DOMAIN_GONE_FOR: Millis = Millis(3_000);
+/// The same for a VM of the own domain of which no peer has ever said anything, as for one that was lost
+/// while all others were down.
+const UNHEARD_FOR: Millis = Millis(6_000);
 /// Entries that one transaction deletes at most, half of what the platform's store takes.
 const MOST_AT_ONCE: usize = 16;
 
@@ -174,13 +177,19 @@
         let is_gone = view.state == MemberState::Gone && view.age >= pause;
         is_gone && relay.keeps_entries_of(me, domain)
     });
+    let mut keys: Vec<String> = gone.map(|view| key(&view.id.domain, &view.id.vm)).collect();
+    if relay.keeps_entries_of(me, &cx.cfg.domain) {
+        let unheard = cx.entries.unheard(UNHEARD_FOR, cx.now());
+        keys.extend(unheard.iter().map(|vm| key(&cx.cfg.domain, vm)));
+    }
     let mirror = cx.feed.mirror();
-    let entry = |view: heatherknot_peer::MemberView| {
-        let key = format!("{}{}", domain_keys(&view.id.domain), view.id.vm);
-        let at = mirror.revision_of(&key)?;
-        Some((key, at))
-    };
-    gone.filter_map(entry).collect()
+    let found = keys.into_iter();
+    let found = found.filter_map(|key| mirror.revision_of(&key).map(|at| (key, at)));
+    found.collect()
+}
+
+fn key(domain: &DomainName, vm: &VmName) -> String {
+    format!("{}{vm}", domain_keys(domain))
 }
 
 /// Changes the store where `compares` hold; says whether it did, and logs why not.
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -22,6 +22,10 @@
 /// starts can read the few entries of its own domain.
 const VM_KEYS: &str = "hk/vm/";
 
+/// How long a VM of the own domain may have an entry without a word of any peer before it is left
+/// out of look-up answers. Heartbeats tell all VMs of a domain of each other within two seconds.
+const UNHEARD_FOR: Millis = Millis(4_000);
+
 /// One VM, as its entry says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmEntry {
@@ -59,6 +63,8 @@
     feed: Rc<Feed>,
     /// What each value was parsed to; nothing for one that can't be read, which is told once.
     parsed: RefCell<HashMap<String, (Bytes, Option<VmEntry>)>>,
+    /// Since when VMs of the own domain have entries and no peer has said anything of them.
+    unheard: RefCell<HashMap<VmName, Millis>>,
 }
 
 impl VmEntry {
@@ -89,6 +95,28 @@
         Self {
             feed,
             parsed: RefCell::default(),
+            unheard: RefCell::default(),
+        }
+    }
+
+    /// Gives the VMs whose entries have stood for `span` at `now` without a word of any peer.
+    ///
+    /// A VM that was lost before this one started answers nobody, so nobody ever says that it
+    /// is gone. Without this its entry would name it to callers for good.
+    pub fn unheard(&self, span: Millis, now: Millis) -> HashSet<VmName> {
+        let unheard = self.unheard.borrow();
+        let long = unheard
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= span);
+        long.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Notes which of the `expected` VMs no peer has said anything of.
+    fn note_unheard(&self, expected: &[&VmEntry], heard: &HashSet<VmName>, now: Millis) {
+        let mut unheard = self.unheard.borrow_mut();
+        unheard.retain(|vm, _| expected.iter().any(|e| e.name == *vm) && !heard.contains(vm));
+        for entry in expected.iter().filter(|entry| !heard.contains(&entry.name)) {
+            unheard.entry(entry.name.clone()).or_insert(now);
         }
     }
 
@@ -132,11 +160,18 @@
 /// Looks anew which VMs are there. It is called a few times a second, so that look-ups need
 /// not read all entries each time.
 pub fn refresh(cx: &EdgeContext) {
-    let views = cx.membership.views().into_iter();
-    let doubted = views.filter(|view| view.state != MemberState::Alive);
-    let doubted: HashSet<VmName> = doubted.map(|view| view.id.vm).collect();
+    let views = cx.membership.views();
+    let heard = views.iter().map(|view| view.id.vm.clone()).collect();
+    let doubted = views
+        .into_iter()
+        .filter(|view| view.state != MemberState::Alive);
+    let mut doubted: HashSet<VmName> = doubted.map(|view| view.id.vm).collect();
     let mut vms = cx.entries.read();
-    vms.retain(|vm| vm.name != cx.cfg.vm && !doubted.contains(&vm.name));
+    vms.retain(|vm| vm.name != cx.cfg.vm);
+    let neighbours: Vec<&VmEntry> = vms.iter().filter(|vm| vm.domain == cx.cfg.domain).collect();
+    cx.entries.note_unheard(&neighbours, &heard, cx.now());
+    doubted.extend(cx.entries.unheard(UNHEARD_FOR, cx.now()));
+    vms.retain(|vm| !doubted.contains(&vm.name));
     if !cx.leaving.is_fired() {
         vms.push(own_entry(cx));
     }
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -132,3 +132,34 @@
         assert!(relay.is_head(&wide.into(), &"n1".into()));
     }
 }
+
+#[test]
+fn the_head_of_a_domain_keeps_its_entries_and_a_reader_those_of_a_lost_domain() {
+    let mut vms = vms();
+    vms.retain(|vm| vm.domain.as_str() != "s2");
+    let relay = Relay::new(&vms);
+    let keepers = |domain: &str| {
+        let domain = domain.into();
+        let keeps = vms
+            .iter()
+            .filter(|vm| relay.keeps_entries_of(&vm.name, &domain));
+        keeps.map(|vm| vm.domain.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(keepers("s1"), ["s1".into()]);
+    let of_lost = keepers("s2");
+    assert_eq!(of_lost.len(), 1, "one and no more");
+    assert!(of_lost[0].as_str().starts_with('n'), "it reads the store");
+}
+
+/// Story: all VMs restart where they were. Each finds its own entry and writes nothing: three
+/// hundred writes at once would hold up the readings of those that are to serve again.
+#[test]
+fn an_entry_of_an_earlier_run_says_the_same_unless_an_address_differs() {
+    let before = vm("n1-1", "n1", "north", Some(9));
+    let mut after = vm("n1-1", "n1", "north", None);
+    after.incarnation = Incarnation(7);
+    assert!(before.says_the_same(&after));
+
+    after.requests = "127.0.0.1:9".parse().expect("an address");
+    assert!(!before.says_the_same(&after));
+}
