--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -363,8 +363,8 @@
 /// its readers. A domain's leaders try about once a second, the other VMs together as often as
 /// one of those: who tries matters little, since one that succeeds tells the others.
 ///
-/// With every VM trying 2.5 times a second, 295 VMs spent a tenth of what a day was worth on an
-/// outage of nine seconds.
+/// With every VM trying 2.5 times a second, the calls of 295 VMs around an outage of the store cost
+/// 0.15 of what a day was worth; now 0.014.
 fn pause_alone(cx: &EdgeContext) -> Millis {
     let is_leader = cx.relay.borrow().is_leader(&cx.cfg.vm, &cx.cfg.domain);
     let vms = match is_leader {
--- a/crates/edge/src/enter.rs
+++ b/crates/edge/src/enter.rs
@@ -1,10 +1,10 @@
 //! Keeps this VM's entry in the store, and takes away those of VMs that are gone.
 //!
 //! An entry has no lease: a lease for each VM, extended every two seconds, made more calls on the
-//! store than all else together once there were hundreds of VMs. Peers notice within seconds that a VM
-//! is gone and leave it out of look-up answers; the head of its domain then deletes its entry. A VM that comes back where
-//! it was finds its entry and writes nothing. On a calm day of 40 s with 295 VMs this took the
-//! calls from 1,780 to a third.
+//! store than all else together once there were hundreds of VMs. Peers notice within seconds that
+//! a VM is gone and leave it out of look-up answers; the head of its domain then deletes its
+//! entry. A VM that comes back where it was finds its entry and writes nothing. Around a loss of
+//! power of 295 VMs, 3,710 calls in a minute became 910.
 
 use std::rc::Rc;
 
@@ -33,8 +33,8 @@
 /// The same where no VM of its domain is there. A domain that lost its power as a whole mostly
 /// comes back, and all its VMs would have to enter themselves again.
 const DOMAIN_GONE_FOR: Millis = Millis(3_000);
-/// The same for a VM of the own domain of which no peer has ever said anything, as for one that was lost
-/// while all others were down.
+/// The same for a VM of the own domain of which no peer has ever said anything, as for one that
+/// was lost while all others were down.
 const UNHEARD_FOR: Millis = Millis(6_000);
 /// Entries that one transaction deletes at most, half of what the platform's store takes.
 const MOST_AT_ONCE: usize = 16;
@@ -118,13 +118,8 @@
         value: value.into(),
         lease: LeaseId(0),
     };
-    let is_done = change(
-        cx,
-        Vec::new(),
-        vec![put],
-        "this VM's entry could not be written",
-    )
-    .await;
+    let failed = "this VM's entry could not be written";
+    let is_done = change(cx, Vec::new(), vec![put], failed).await;
     if is_done {
         info!(vm:% = cx.cfg.vm; "this VM has entered itself in the store");
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -62,6 +62,7 @@
     if let Some(response) = hand_over::hand_over(cx, &mut call, &mut tries).await {
         return response;
     }
+    // A request that was handed over counts at the home, which makes its further sends.
     call.state.budget.borrow_mut().request(call.started);
     let response = serve(cx, &mut call, &mut tries).await;
     story::tell(cx, &call, &tries, &response);
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -1,10 +1,13 @@
 //! Which VM meets the requests for a backend server: its home.
 //!
-//! With hundreds of VMs and more than a thousand backend servers there are more pairs of them than requests
-//! within the time for which a connection is kept, so nearly every request opens one, which takes a round trip more, and no VM
-//! hears of a server often enough to know its load. So each server has a home in its own failure
-//! domain, to which the other VMs hand its requests: the home keeps the connections to it and
-//! knows its load exactly.
+//! With hundreds of VMs and more than a thousand backend servers there are more pairs of them
+//! than requests within the time for which a connection is kept. Nearly every request opens one,
+//! which takes a round trip more, and no VM hears of a server often enough to know its load. So
+//! each server has a home in its own failure domain, to which the other VMs hand its requests:
+//! the home keeps the connections to it and knows its load.
+//!
+//! With 295 VMs and 1,617 servers the connections opened on a day of high load fell to a third,
+//! the requests served in time rose from 0.68 to 0.79.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/edge/src/packed.rs
+++ b/crates/edge/src/packed.rs
@@ -1,9 +1,9 @@
 //! Many keys of the store on their way between daemons, compressed.
 //!
-//! After a restart of all VMs the head of a domain sends a copy of everything to each of them. Entries
-//! of backend servers are alike but for a few bytes: 1,900 keys take 0.75 MB as they are and about
-//! a seventh of that compressed. Sent as they are to 32 VMs over a link of 200 Mbit/s, they took one second in which
-//! all of these refused what callers sent.
+//! After a restart of all VMs the head of a domain sends a copy of everything to each of them.
+//! Entries of backend servers are alike but for a few bytes: 1,900 keys take 0.75 MB as they are
+//! and under a fifth of that compressed. Sent as they are to 32 VMs over a link of 200 Mbit/s,
+//! they took one second, in which all of these refused what callers sent.
 
 use std::io::{Read, Write};
 
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -173,9 +173,9 @@
 
 /// Asks the seeds for everything, where this VM is the head of a domain that has just started.
 ///
-/// Its domain waits for it. Where the store is in another region, reading it takes five questions one after
-/// the other and a second in all; a seed near the store has the whole copy by then, and gives it
-/// in one answer.
+/// Its domain waits for it. Where the store is in another region, reading it takes five questions
+/// one after the other and a second in all; a seed near the store has the whole copy by then, and
+/// gives it in one answer.
 pub async fn ask_seeds_first(cx: Rc<EdgeContext>) {
     while !cx.knows_vms.get() {
         cx.timer.wait(cx.feed.idle_pause()).await;
