--- a/crates/edge/tests/packed.rs
+++ b/crates/edge/tests/packed.rs
@@ -7,7 +7,7 @@
     let entry = |i: usize| {
         format!(
             "{{\"service\":\"gallery\",\"address\":\"10.{}.{}.{}:8608\",\"zone\":\"north-1\",\
-             \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_left_s\":0,\"sequence\":{i}}}",
+             \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_ms\":0,\"number\":{i}}}",
             i % 9,
             i % 200,
             i % 77
