Hand over every request in the soak; say once how connections that carry requests are tested

The soak had none of the requests that go over a home: with six backend servers its daemons keep connections to all. Its settings now hand all over, so kills, pauses, stops and cut peers meet them.

--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -6,6 +6,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use serde_json::json;
+
 use crate::support::daemon::{Listening, settings};
 use crate::support::proxy::{Passage, Proxy};
 use crate::support::server::{FakeServer, Manner};
@@ -24,6 +26,8 @@
 const SERVERS: usize = 6;
 /// The grace time in the daemons' settings, and what a busy machine may add.
 const STOP_LIMIT: Duration = Duration::from_secs(6);
+/// Requests for each backend server below which a daemon hands requests to the servers' homes: all.
+const HAND_OVER_ALWAYS: f64 = 1e9;
 const DOMAINS: [&str; 2] = ["port-1", "hill-1"];
 
 /// A backend server behind its proxy.
@@ -128,7 +132,9 @@
         let proxy = Proxy::start(door);
         let name = format!("vm-{number}");
         let seeds: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.at.peers).collect();
-        let cfg = settings(&name, DOMAINS[number % 2], &at, proxy.address, &seeds);
+        let mut cfg = settings(&name, DOMAINS[number % 2], &at, proxy.address, &seeds);
+        // So few daemons would keep connections to all backend servers themselves.
+        cfg["hand_over_below"] = json!(HAND_OVER_ALWAYS);
         let file = Self::logs(self.seed).join(format!("{name}.json"));
         std::fs::write(&file, cfg.to_string()).expect("the directory can be written");
         Vm {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use heatherknot_http::{
-    AheadRule, Flag, Handler, KeepRoom, Limits, LivenessOptions, PoolConfig, Response, serve,
-};
+use heatherknot_http::{AheadRule, Flag, Handler, KeepRoom, Limits, PoolConfig, Response, serve};
 use heatherknot_peer::{
     Membership, MembershipContext, MembershipHooks, MembershipOptions, MethodTable, PeerContext,
     PeerError, PeerId, PeerNet, PeerOptions, Secret,
@@ -28,7 +26,7 @@
 use crate::presence::VmEntries;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
-use crate::upstream::IDLE_KEPT;
+use crate::upstream::{self, IDLE_KEPT};
 use crate::world::World;
 use crate::{
     call, distance, enter, forward, hand_over, lookup, peer_feed, presence, reply, spill_step, stop,
@@ -299,11 +297,7 @@
         max_idle: IDLE_KEPT,
         max_idle_once: Millis(2_000),
         connect_timeout: Duration::from_millis(500),
-        liveness: LivenessOptions {
-            user_timeout: Duration::from_millis(1_500),
-            keepalive: Duration::from_secs(1),
-            keepalive_probes: 2,
-        },
+        liveness: upstream::liveness(),
         may_end_with_connection: true,
         echoed: Some(dialect.headers.request_id.clone()),
         ..PoolConfig::default()
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -15,13 +15,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use heatherknot_http::{LivenessOptions, Pool, PoolConfig};
+use heatherknot_http::{Pool, PoolConfig};
 use heatherknot_types::hash;
 use heatherknot_types::prelude::*;
 
 use crate::dialect::Dialect;
 use crate::presence::VmEntry;
-use crate::upstream::Upstream;
+use crate::upstream::{self, Upstream};
 
 /// The pause after the first failure to reach a home.
 const FIRST_PAUSE: Millis = Millis(250);
@@ -149,11 +149,7 @@
         max_idle: Millis(40_000),
         max_idle_once: Millis(40_000),
         connect_timeout: Duration::from_millis(500),
-        liveness: LivenessOptions {
-            user_timeout: Duration::from_millis(1_500),
-            keepalive: Duration::from_secs(1),
-            keepalive_probes: 2,
-        },
+        liveness: upstream::liveness(),
         may_end_with_connection: true,
         echoed: Some(dialect.headers.request_id.clone()),
         ..PoolConfig::default()
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -3,8 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
-use heatherknot_http::{Pool, PoolConfig};
+use heatherknot_http::{LivenessOptions, Pool, PoolConfig};
 use heatherknot_types::prelude::*;
 
 use crate::ewma::{Ewma, fade};
@@ -70,6 +71,16 @@
     objects: RefCell<HashMap<u64, Millis>>,
 }
 
+/// Gives how connections that carry requests are tested. A peer that is gone without a word is
+/// found out within about three seconds, while most requests still have time.
+pub fn liveness() -> LivenessOptions {
+    LivenessOptions {
+        user_timeout: Duration::from_millis(1_500),
+        keepalive: Duration::from_secs(1),
+        keepalive_probes: 2,
+    }
+}
+
 /// The load that a backend server tells with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLoad {
