--- /dev/null
+++ b/crates/edge/examples/choice_bench.rs
@@ -0,0 +1,90 @@
+//! Times the choice of a backend server among 100, 1,000 and 10,000 of a service.
+//!
+//! `cargo run --release --locked -p heatherknot-edge --example choice_bench` prints, for each
+//! number of servers, the median and the spread over rounds of one choice where the first server
+//! of the rank is free, of one where it is full, and of the work of a VM that hands over.
+
+use std::hint::black_box;
+use std::rc::Rc;
+use std::time::Instant;
+
+use heatherknot_edge::choose::{Place, Wish, choose, first};
+use heatherknot_edge::pace::Pace;
+use heatherknot_edge::registration::Registration;
+use heatherknot_edge::switches::Switches;
+use heatherknot_edge::upstream::Upstream;
+use heatherknot_http::PoolConfig;
+use heatherknot_types::prelude::*;
+
+/// Rounds of each measurement, and choices of one round.
+const ROUNDS: usize = 21;
+const CHOICES: u64 = 50;
+
+fn server(number: usize, clock: &Clock) -> Rc<Upstream> {
+    let reg = Registration {
+        id: format!("i-{number:08x}").into(),
+        service: "maps".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "north-1".into(),
+        slots: 3,
+        leaving: false,
+        cold_left: Millis(0),
+        born: None,
+    };
+    Rc::new(Upstream::new(
+        &reg,
+        "north".into(),
+        PoolConfig::default(),
+        clock,
+    ))
+}
+
+/// Gives the microseconds of one call: the least, the median and the most over the rounds.
+fn time(mut act: impl FnMut(u64)) -> [f64; 3] {
+    let mut rounds: Vec<f64> = (0..ROUNDS)
+        .map(|_| {
+            let began = Instant::now();
+            (0..CHOICES).for_each(&mut act);
+            began.elapsed().as_secs_f64() * 1e6 / CHOICES as f64
+        })
+        .collect();
+    rounds.sort_by(f64::total_cmp);
+    [rounds[0], rounds[ROUNDS / 2], rounds[ROUNDS - 1]]
+}
+
+fn main() {
+    let clock = Clock::new(|| Millis(0));
+    let (region, domain) = ("north".into(), "north-1".into());
+    let pace = Pace::default();
+    let wish = |object| Wish {
+        object,
+        sticky: true,
+        region: &region,
+        domain: &domain,
+        target: Millis(600),
+        left: Millis(2_500),
+        now: Millis(0),
+        switches: Switches::default(),
+        named: None,
+        is_home: &|_| false,
+    };
+    println!("microseconds a choice: least, median, most of {ROUNDS} rounds");
+    for count in [100, 1_000, 10_000] {
+        let servers: Vec<_> = (0..count).map(|i| server(i, &clock)).collect();
+        let free = time(|object| {
+            black_box(choose(&wish(object), &servers, &pace, Place::Region));
+        });
+        let by_rank = time(|object| {
+            black_box(first(&wish(object), &servers, Place::Region));
+        });
+        let busy: Vec<_> = servers
+            .iter()
+            .flat_map(|s| [s.begin(), s.begin(), s.begin()])
+            .collect();
+        let full = time(|object| {
+            black_box(choose(&wish(object), &servers, &pace, Place::Region));
+        });
+        drop(busy);
+        println!("{count:>6} servers: free {free:.1?}, full {full:.1?}, handed over {by_rank:.1?}");
+    }
+}
