Find a VM that has heard within a second while the store turns the readers away

Leaders of domains tried it after 1.7 s, but were stale again as often as not; other VMs asked leaders that held their answers back, then one VM elsewhere, then the leaders again.

Change: a leader that the store answers watches it for 5 s in the readers' place; a VM without word asks any VM after the other while its leaders are avoided, and those again after a second; a VM that has heard nothing itself says so at once. The test of whom a VM asks failed before.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -47,7 +47,7 @@
 const LEADER_PAUSE: Millis = Millis(1_500);
 /// The same for any other VM, however many there are. A VM that no peer tells anything of use
 /// is to find the store again in bearable time.
-const LONGEST_ALONE: Millis = Millis(30_000);
+const LONGEST_ALONE: Millis = Millis(15_000);
 /// The longest message between daemons: the copy of the store's keys of a whole deployment.
 const MAX_PEER_MESSAGE: usize = 4 << 20;
 
@@ -350,7 +350,8 @@
     let relay = cx.relay.borrow();
     let me = &cx.cfg.vm;
     let is_first_reading = cx.feed.is_patient() && relay.is_head(me, &cx.cfg.domain);
-    cx.knows_vms.get() && (relay.reads_store(me) || is_first_reading)
+    let stands_in = cx.feed.stands_in() && relay.is_leader(me, &cx.cfg.domain);
+    cx.knows_vms.get() && (relay.reads_store(me) || is_first_reading || stands_in)
 }
 
 /// Gives the pause between two tries of a store that does not answer, by a VM that is not one of
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -38,6 +38,8 @@
 /// itself in the store, waits for the others' entries, reads them and asks one of them, which
 /// takes a little over a second in far regions.
 const START_PATIENCE: Millis = Millis(2_000);
+/// How long a VM that the store answers watches it in the place of watchers that hear nothing.
+const STAND_IN: Millis = Millis(5_000);
 /// The longest pause between two tries of a store that does not answer.
 const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
 
@@ -64,6 +66,8 @@
     pause_alone: RefCell<Option<PauseAlone>>,
     /// Until when this VM leaves the store alone although it hears nothing.
     spared_until: Cell<Millis>,
+    /// Until when this VM may watch the store in the place of watchers that hear nothing.
+    stands_in_until: Cell<Millis>,
     news: RefCell<Flag>,
 }
 
@@ -84,6 +88,7 @@
             is_watcher: RefCell::default(),
             pause_alone: RefCell::default(),
             spared_until: Cell::new(Millis(0)),
+            stands_in_until: Cell::new(Millis(0)),
             news: RefCell::default(),
         })
     }
@@ -241,12 +246,29 @@
             };
             self.take_message(message?);
             *failures = 0;
+            self.note_own_word();
             let spent = self.timer.now().since(began);
             self.timer.wait(WATCH_PAUSE - spent).await;
         }
         Ok(())
     }
 
+    /// Notes that the store has answered this VM itself. Where it is no watcher, those hear nothing.
+    fn note_own_word(&self) {
+        if !self.is_watcher() {
+            let until = self.timer.now() + STAND_IN;
+            self.stands_in_until.set(until);
+        }
+    }
+
+    /// Says whether the store has lately answered this VM while the watchers heard nothing.
+    ///
+    /// A leader of a domain then watches in their place. Otherwise its word would be over a
+    /// second old half of the time, and the VMs that ask it would take it for cut off as well.
+    pub fn stands_in(&self) -> bool {
+        self.timer.now() < self.stands_in_until.get()
+    }
+
     async fn watch(&self) -> Result<WatchStream, StoreError> {
         let at = self.mirror.borrow().at();
         let req = WatchRequest {
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -32,7 +32,7 @@
 /// The pause after a question that brought nothing of use.
 const FAILED_PAUSE: Millis = Millis(200);
 /// The same while this VM has heard nothing of the store for so long that it counts as away.
-const QUIET_PAUSE: Millis = Millis(700);
+const QUIET_PAUSE: Millis = Millis(300);
 /// The age from which what a peer last heard of the store is too old to go on asking it. Over
 /// two VMs on the way, a word is up to 1.4 s old when all goes well: half a second from one
 /// reading to the next, and an answer held back at each of the two. A peer's own is a hold
@@ -40,6 +40,9 @@
 const STALE: Millis = Millis(1_200);
 /// How long a peer that did not answer, or had nothing new, is left alone.
 const AVOID_FOR: Millis = Millis(3_000);
+/// The same while this VM has heard nothing of the store for so long that it counts as away. A
+/// leader that the store serves has found that out by then, and tells its domain at once.
+const QUIET_AVOID_FOR: Millis = Millis(1_000);
 
 /// One key on its way between daemons.
 #[derive(Debug, Serialize, Deserialize)]
@@ -95,7 +98,9 @@
             let news = feed.news();
             let now = changes_after(&feed, after, &last);
             let has_keys = now.packed.is_some() || !now.keys.is_empty();
-            if now.whole || (has_keys && now.age_ms.is_some()) {
+            // Who asks is to ask somebody else soon where nothing was heard here either.
+            let is_quiet = now.age_ms.is_some_and(|age| age >= STALE);
+            if now.whole || is_quiet || (has_keys && now.age_ms.is_some()) {
                 return Ok(now);
             }
             select(news.wait(), timer.wait(HOLD)).await;
@@ -165,7 +170,7 @@
             }
         };
         if let Some(vm) = source.filter(|_| is_stale) {
-            avoided.insert(vm, cx.now() + AVOID_FOR);
+            avoided.insert(vm, cx.now() + avoid_for(&cx));
         }
         cx.timer.wait(failed_pause(&cx)).await;
     }
@@ -212,6 +217,13 @@
     }
 }
 
+fn avoid_for(cx: &EdgeContext) -> Millis {
+    match cx.feed.is_fresh() {
+        true => AVOID_FOR,
+        false => QUIET_AVOID_FOR,
+    }
+}
+
 /// Gives the pause after a question that brought nothing of use. It is longer while the store is
 /// away for everybody, who would otherwise all ask each other five times a second.
 fn failed_pause(cx: &EdgeContext) -> Millis {
@@ -259,7 +271,7 @@
 }
 
 /// Gives the VM to ask: the best source that is not to be avoided, or any VM where there is
-/// none and the store does not answer either. After any VM the best sources come again.
+/// none and the store does not answer either.
 ///
 /// A source that is cut off from the store goes on answering. Whoever went on asking it would
 /// hear nothing for as long as the cut lasts, and be thrown back on the store itself together
@@ -268,17 +280,26 @@
     let now = cx.now();
     avoided.retain(|_, until| *until > now);
     let sources = cx.relay.borrow().sources(&cx.cfg.vm, &cx.cfg.domain);
-    let usable = sources.into_iter().find(|vm| !avoided.contains_key(vm));
-    if usable.is_some() {
-        return usable;
-    }
     let has_lost_the_store = cx.feed.age().is_some() && !cx.feed.is_fresh();
-    let any = cx.membership.random_peer();
-    let any = any.filter(|_| cx.feed.is_cut_off() || has_lost_the_store);
-    if any.is_some() {
-        avoided.clear();
-    }
-    any
+    let asks_any = cx.feed.is_cut_off() || has_lost_the_store;
+    whom_to_ask(sources, avoided, || {
+        cx.membership.random_peer().filter(|_| asks_any)
+    })
+}
+
+/// Gives the first source that is not avoided, or any VM, as `any` draws it.
+///
+/// Where the store turns away the leaders of a domain and serves others, some VM elsewhere has
+/// heard. The domain's VMs ask one after the other until their leaders' pause ends; were the
+/// leaders asked again after each, it would take them 3 s a try, and a change of the
+/// configuration the bound on its being in force.
+pub fn whom_to_ask(
+    sources: Vec<VmName>,
+    avoided: &HashMap<VmName, Millis>,
+    any: impl FnOnce() -> Option<VmName>,
+) -> Option<VmName> {
+    let usable = sources.into_iter().find(|vm| !avoided.contains_key(vm));
+    usable.or_else(any)
 }
 
 /// Takes in what a peer told; says whether it could be read.
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use heatherknot_edge::feed::Feed;
+use heatherknot_edge::peer_feed::whom_to_ask;
 use heatherknot_edge::world::World;
 use heatherknot_store::port::{Store, StoreRevision};
 use heatherknot_types::prelude::*;
@@ -216,3 +218,29 @@
 
     assert!(feed.is_to_watch());
 }
+
+/// Story: the store turns away both leaders of a domain and serves most other VMs. The domain's
+/// VMs ask one VM elsewhere that has not heard either, then their leaders again, who hold their
+/// answers back, and so on: a change of the configuration reaches them after seven seconds, and
+/// callers get 404 for routes that were added.
+#[test]
+fn while_its_leaders_hear_nothing_a_vm_asks_one_vm_after_the_other() {
+    let leaders = || vec![VmName::from("head"), VmName::from("deputy")];
+    let mut avoided = HashMap::new();
+    assert_eq!(
+        whom_to_ask(leaders(), &avoided, || None),
+        Some("head".into())
+    );
+    avoided.insert("head".into(), Millis(3_000));
+    assert_eq!(
+        whom_to_ask(leaders(), &avoided, || None),
+        Some("deputy".into())
+    );
+    avoided.insert("deputy".into(), Millis(3_400));
+
+    for elsewhere in ["one", "two", "three"] {
+        let asked = whom_to_ask(leaders(), &avoided, || Some(elsewhere.into()));
+        assert_eq!(asked, Some(elsewhere.into()));
+        avoided.insert(elsewhere.into(), Millis(4_000));
+    }
+}
