Know client accounts by their keys; bind their requests to their home regions

A key of no sure owner gets 503, an unknown one 401. Route and account both bind the regions. A VM that hands a request over names the account and not the key. Texts of keys stand in no log line.

Ruled out: telling the home of a server the key (it would lie on one VM more for nothing, as both hold the same version); treating a damaged row's keys as unknown (a 401 is for good).

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -9,9 +9,11 @@
 use heatherknot_types::prelude::*;
 use http::header::HOST;
 
+use crate::accounts::{Account, AllowedRegions};
 use crate::catalog::{Catalog, Route};
 use crate::context::{EdgeContext, ServiceState};
 use crate::hand_over::HandedWord;
+use crate::identify::{self, Unidentified};
 
 /// The longest request body that is read whole before it is sent. Longer ones are sent as they
 /// come, so that a slow link is not waited for twice.
@@ -29,7 +31,11 @@
     pub(crate) service: ServiceName,
     /// What is learned of that service.
     pub(crate) state: Rc<ServiceState>,
-    /// Its head.
+    /// The client account that it is of, where it is of one.
+    pub(crate) account: Option<Arc<Account>>,
+    /// The regions that may run it.
+    pub(crate) regions: AllowedRegions,
+    /// Its head, without the caller's key.
     pub(crate) head: RequestHead,
     /// Its body.
     pub(crate) body: HeldBody,
@@ -89,8 +95,7 @@
 impl Call {
     /// Gives the identifier that the caller gave the request, for log lines.
     pub(crate) fn id<'a>(&'a self, cx: &EdgeContext) -> &'a str {
-        let id = self.head.headers.get(&cx.dialect.headers.request_id);
-        id.and_then(|id| id.to_str().ok()).unwrap_or("")
+        id_of(cx, &self.head)
     }
 
     /// Gives the time left at `now`.
@@ -109,10 +114,38 @@
     UnreadRoute,
     /// Its route leads to no service.
     NoTarget,
+    /// It is not known whose it is.
+    Unidentified(Unidentified),
+    /// Its route and its client account allow no region in common.
+    NoRegion,
     /// Its body could not be read.
     Body(BodyError),
 }
 
+/// Gives the identifier that the caller gave a request, for log lines.
+pub(crate) fn id_of<'a>(cx: &EdgeContext, head: &'a RequestHead) -> &'a str {
+    let id = head.headers.get(&cx.dialect.headers.request_id);
+    id.and_then(|id| id.to_str().ok()).unwrap_or("")
+}
+
+impl Unroutable {
+    /// Gives the cause, for log lines, metrics and the answer.
+    pub(crate) fn cause(&self) -> &'static str {
+        match self {
+            Self::NoCatalog => "no configuration yet",
+            Self::NoRoute => "no route takes this host and path",
+            Self::UnreadRoute => "its route may be one that can't be read",
+            Self::NoTarget => "the route has no service",
+            Self::Unidentified(Unidentified::NoAccount) => "it bears no key of a client account",
+            Self::Unidentified(Unidentified::Unsure) => {
+                "its key may be that of an account that can't be read"
+            }
+            Self::NoRegion => "its route and its account allow no region in common",
+            Self::Body(_) => "the body could not be read",
+        }
+    }
+}
+
 /// Says whether a request may be handled while an earlier one of its connection is: one that
 /// may run more than once.
 pub(crate) fn may_go_ahead(cx: &EdgeContext, head: &RequestHead) -> bool {
@@ -140,17 +173,28 @@
         true => Unroutable::UnreadRoute,
         false => Unroutable::NoRoute,
     })?;
+    let mut head = req.head;
+    let names = &cx.dialect.headers;
+    let account = match &handed {
+        Some(_) => identify::identified(&catalog, &route, names, &head),
+        None => identify::identify(&catalog, &route, names, &head),
+    };
+    let account = account.map_err(Unroutable::Unidentified)?;
+    identify::name_account(names, &mut head, account.as_deref());
+    let regions = allowed_regions(&route, account.as_deref());
+    if regions.are_none() {
+        return Err(Unroutable::NoRegion);
+    }
     let service = match &handed {
         Some(word) => allowed_service(&route, &word.service),
         None => next_service(cx, &route),
     };
     let service = service.ok_or(Unroutable::NoTarget)?;
     let state = cx.service(&service);
-    let headers = &req.head.headers;
-    let stated = headers.get(&cx.dialect.headers.time_left);
+    let stated = head.headers.get(&names.time_left);
     let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
     let patience = stated.map_or(DEFAULT_TIME, Millis).min(route.timeout);
-    let object = object_of(cx, &req.head);
+    let object = object_of(cx, &head);
     if handed.is_none() {
         state.asked.borrow_mut().add(started, 1.0);
         cx.route(&route.name).note_request(object, started);
@@ -163,7 +207,9 @@
         catalog,
         service,
         state,
-        head: req.head,
+        account,
+        regions,
+        head,
         body,
         object,
         meant: handed.map(|word| word.server),
@@ -173,6 +219,11 @@
     })
 }
 
+fn allowed_regions(route: &Route, account: Option<&Account>) -> AllowedRegions {
+    let of_account = account.map_or(&[][..], |account| &account.home_regions);
+    AllowedRegions::of(&route.home_regions, of_account)
+}
+
 /// Gives a service that another VM has chosen, where the route leads to it.
 fn allowed_service(route: &Route, chosen: &ServiceName) -> Option<ServiceName> {
     let target = route.targets.iter().find(|t| t.service == *chosen);
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -5,6 +5,8 @@
 
 use heatherknot_types::prelude::*;
 
+use crate::accounts::Accounts;
+
 /// One accepted configuration: every route and service at one version.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -14,6 +16,8 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
     names: HashSet<Arc<str>>,
+    /// The client accounts; nothing where callers need no key.
+    accounts: Option<Accounts>,
     /// Whether there may be routes whose host or prefix can't be read.
     hides_routes: bool,
     /// What of it can't be read, one text each.
@@ -29,6 +33,8 @@
     pub routes: Vec<Route>,
     /// The services.
     pub services: Vec<ServiceSpec>,
+    /// The client accounts; nothing where callers need no key.
+    pub accounts: Option<Accounts>,
     /// The routes that are there and can't be read.
     pub unread_routes: Vec<UnreadRoute>,
     /// What else can't be read, one text each.
@@ -75,6 +81,8 @@
     pub large_bodies: bool,
     /// Whether a backend server that lately handled an object is faster at it.
     pub sticky: bool,
+    /// Whether callers need no key for it.
+    pub public: bool,
 }
 
 /// One of the services that share a route's requests.
@@ -114,6 +122,7 @@
             large_answers: false,
             large_bodies: false,
             sticky: false,
+            public: false,
         }
     }
 }
@@ -150,6 +159,7 @@
             routes: by_host,
             services: services.collect(),
             names,
+            accounts: parts.accounts,
             hides_routes,
             remarks,
         }
@@ -171,6 +181,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Gives the client accounts; nothing where callers need no key.
+    pub fn accounts(&self) -> Option<&Accounts> {
+        self.accounts.as_ref()
+    }
+
     /// Gives what is configured of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -56,6 +56,10 @@
     pub not_run: HeaderName,
     /// The requests running and waiting at the backend server, and its slots.
     pub server_load: HeaderName,
+    /// The caller's key. It is passed on to nobody.
+    pub key: HeaderName,
+    /// The client account that a request is of, for the backend server.
+    pub account: HeaderName,
 }
 
 /// The keys of the store.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -10,12 +10,16 @@
 use crate::choose::Prospect;
 use crate::context::EdgeContext;
 use crate::hand_over;
+use crate::identify::Unidentified;
 use crate::pick::{self, Refusal};
 use crate::reply;
 use crate::story::{self, Sent};
 
 /// When a caller may come back to a daemon that has no configuration yet.
 const NO_CATALOG_RETURN: Millis = Millis(300);
+/// When a caller may come back whose requests the operator has first to make possible, by another
+/// configuration. Those are in force some seconds after they are written.
+const AMISS_RETURN: Millis = Millis(5_000);
 /// Servers that could not be reached at all which one request tries.
 const MAX_UNREACHED: u32 = 3;
 /// Sends beyond the route's attempts that one request may make after refusals: a server that
@@ -44,15 +48,29 @@
 
 /// Answers a request.
 pub async fn handle(cx: Rc<EdgeContext>, req: Request) -> Response {
+    let id = call::id_of(&cx, &req.head).to_owned();
     match call::admit(&cx, req, None).await {
         Ok(call) => answer(&cx, call).await,
-        Err(Unroutable::NoCatalog) => reply::not_run("no configuration yet", NO_CATALOG_RETURN),
-        Err(Unroutable::NoRoute) => reply::no_route(),
-        Err(Unroutable::UnreadRoute) => {
-            reply::not_run("its route may be one that can't be read", NO_CATALOG_RETURN)
+        Err(unroutable) => {
+            let response = refuse_unrouted(&unroutable);
+            story::tell_unrouted(&cx, &id, &unroutable, &response);
+            response
+        }
+    }
+}
+
+fn refuse_unrouted(unroutable: &Unroutable) -> Response {
+    let cause = unroutable.cause();
+    match unroutable {
+        Unroutable::NoRoute => reply::no_route(cause),
+        Unroutable::Unidentified(Unidentified::NoAccount) => reply::no_account(cause),
+        Unroutable::Body(error) => reply::bad_body(error.status(), cause),
+        Unroutable::NoCatalog | Unroutable::UnreadRoute | Unroutable::NoTarget => {
+            reply::not_run(cause, NO_CATALOG_RETURN)
+        }
+        Unroutable::Unidentified(Unidentified::Unsure) | Unroutable::NoRegion => {
+            reply::not_run(cause, AMISS_RETURN)
         }
-        Err(Unroutable::NoTarget) => reply::not_run("the route has no service", NO_CATALOG_RETURN),
-        Err(Unroutable::Body(error)) => reply::bad_body(error.status()),
     }
 }
 
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -268,8 +268,10 @@
     }
     match call::admit(&cx, req, Some(word)).await {
         Ok(call) => forward::answer(&cx, call).await,
-        Err(Unroutable::Body(error)) => reply::bad_body(error.status()),
-        Err(_) => declined("it has no such route here"),
+        Err(unroutable) => match &unroutable {
+            Unroutable::Body(error) => reply::bad_body(error.status(), unroutable.cause()),
+            _ => declined("it has no such route here"),
+        },
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! rest. [`feed`] keeps a copy of the store's keys, [`world`] what follows from them,
 //! [`forward`] answers requests and [`lookup`] look-ups.
 
+pub mod accounts;
 mod attempt;
 pub mod budget;
 mod call;
@@ -20,6 +21,7 @@
 pub mod forward;
 pub mod hand_over;
 pub mod homes;
+pub mod identify;
 pub mod lookup;
 pub mod metrics;
 pub mod mirror;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -23,6 +23,8 @@
     pub handed: IntCounterVec,
     /// Refusals by service and cause.
     pub refusals: IntCounterVec,
+    /// Requests that got no further than their route, by cause.
+    pub unrouted: IntCounterVec,
     /// Calls on the store by result.
     pub store_calls: IntCounterVec,
     /// Look-ups answered.
@@ -83,6 +85,11 @@
                 "Refused requests by service and cause",
                 &["service", "cause"],
             )?,
+            unrouted: counters(
+                "heatherknot_unrouted_total",
+                "Requests that got no further than their route, by cause",
+                &["cause"],
+            )?,
             store_calls: counters(
                 "heatherknot_store_calls_total",
                 "Calls on the platform's store by result",
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -180,13 +180,12 @@
     wanted: impl Fn(&Upstream) -> bool,
 ) -> Vec<Rc<Upstream>> {
     let world = cx.world.borrow();
-    let homes = &call.route.home_regions;
     let all = world.upstreams(&call.service);
     let eligible = all.iter().filter(|u| {
         u.takes_requests()
             && wanted(u)
             && !world.is_evacuated(&u.domain)
-            && (homes.is_empty() || homes.contains(&u.region))
+            && call.regions.allow(&u.region)
             && u.is_reachable(now)
             && !tried.contains(&u.id)
     });
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -32,14 +32,18 @@
 }
 
 /// Says that no route takes the request.
-pub fn no_route() -> Response {
-    let cause = "no route takes this host and path";
+pub fn no_route(cause: &'static str) -> Response {
     own(StatusCode::NOT_FOUND, Outcome::NotRun, cause)
 }
 
+/// Says that a request bears no key of a client account.
+pub fn no_account(cause: &'static str) -> Response {
+    own(StatusCode::UNAUTHORIZED, Outcome::NotRun, cause)
+}
+
 /// Refuses a request whose body could not be read.
-pub fn bad_body(status: StatusCode) -> Response {
-    own(status, Outcome::NotRun, "the body could not be read")
+pub fn bad_body(status: StatusCode, cause: &'static str) -> Response {
+    own(status, Outcome::NotRun, cause)
 }
 
 fn own(status: StatusCode, outcome: Outcome, cause: &'static str) -> Response {
--- a/crates/edge/src/story.rs
+++ b/crates/edge/src/story.rs
@@ -13,7 +13,7 @@
 use log::info;
 
 use crate::attempt::Attempt;
-use crate::call::Call;
+use crate::call::{Call, Unroutable};
 use crate::choose::Prospect;
 use crate::context::EdgeContext;
 use crate::forward::Tries;
@@ -93,13 +93,35 @@
             expected_ms = best.finish as u64, load = best.load,
             load_age_ms = best.load_age.0; "best server, too late");
     }
-    info!(id, route:% = call.route.name, service:% = call.service, object = call.object,
+    let account = call
+        .account
+        .as_ref()
+        .map_or("", |account| account.name.as_str());
+    info!(id, route:% = call.route.name, account, service:% = call.service, object = call.object,
         config = call.catalog.version, outcome, status = response.status.as_u16(), took_ms = took.0,
         target_ms = call.route.latency_target.0, given_ms = call.deadline.since(call.started).0,
         sends = tries.sent.len(), cause = tries.cause, store_age_ms = cx.feed.age().unwrap_or_default().0;
         "request ended");
 }
 
+/// Counts a request that got no further than its route, and tells its story.
+pub(crate) fn tell_unrouted(
+    cx: &EdgeContext,
+    id: &str,
+    unroutable: &Unroutable,
+    response: &Response,
+) {
+    let cause = unroutable.cause();
+    cx.metrics.unrouted.with_label_values(&[cause]).inc();
+    let config = cx
+        .world
+        .borrow()
+        .catalog()
+        .map_or(0, |catalog| catalog.version);
+    info!(id, status = response.status.as_u16(), cause, config,
+        store_age_ms = cx.feed.age().unwrap_or_default().0; "request not routed");
+}
+
 fn tell_send(id: &str, number: usize, sent: &Sent) {
     info!(id, send = number, at_ms = sent.at.0, took_ms = sent.took.0, upstream:% = sent.upstream,
         region:% = sent.region, result = sent.result, cause = sent.cause, warm = sent.warm,
--- /dev/null
+++ b/crates/edge/tests/accounts.rs
@@ -0,0 +1,248 @@
+//! Whose a request is, what of it backend servers see, and where it may run.
+
+mod support;
+
+use heatherknot_edge::accounts::{
+    Account, AccountEntry, Accounts, AllowedRegions, ApiKey, KeyOwner, UnreadAccount,
+};
+use heatherknot_edge::catalog::{Catalog, CatalogParts, Route};
+use heatherknot_edge::dialect::HeaderNames;
+use heatherknot_edge::identify::{Unidentified, identified, identify, name_account};
+use heatherknot_http::RequestHead;
+use heatherknot_test_support::property::check;
+use http::{HeaderName, HeaderValue, Method, Uri};
+use support::{header_names, route};
+
+const KEY: &str = "k-1";
+
+fn entry(name: &str, keys: &[&str]) -> AccountEntry {
+    AccountEntry {
+        account: Account {
+            name: name.into(),
+            priority: None,
+            limit: None,
+            home_regions: Vec::new(),
+        },
+        keys: keys.iter().filter_map(|key| ApiKey::new(key)).collect(),
+    }
+}
+
+fn accounts(entries: Vec<AccountEntry>, unread: Vec<UnreadAccount>) -> Accounts {
+    Accounts::new(entries, unread).0
+}
+
+fn unread(keys: Option<&[&str]>) -> UnreadAccount {
+    let keys = keys.map(|keys| keys.iter().filter_map(|key| ApiKey::new(key)).collect());
+    UnreadAccount {
+        keys,
+        cause: "its entry can't be read".to_owned(),
+    }
+}
+
+fn catalog(accounts: Accounts) -> Catalog {
+    Catalog::new(CatalogParts {
+        version: 1,
+        accounts: Some(accounts),
+        ..CatalogParts::default()
+    })
+}
+
+fn closed() -> Route {
+    route("a.example", "/a/", "gallery")
+}
+
+fn open() -> Route {
+    Route {
+        public: true,
+        ..closed()
+    }
+}
+
+fn head(headers: &[(&HeaderName, &[u8])]) -> RequestHead {
+    let mut head = RequestHead {
+        method: Method::GET,
+        uri: Uri::from_static("/a/x"),
+        headers: http::HeaderMap::new(),
+    };
+    for (name, value) in headers {
+        let value = HeaderValue::from_bytes(value).expect("a value for a header");
+        head.headers.append(*name, value);
+    }
+    head
+}
+
+fn names() -> HeaderNames {
+    header_names()
+}
+
+fn name_of(found: Result<Option<std::sync::Arc<Account>>, Unidentified>) -> Option<String> {
+    found.ok()?.map(|account| account.name.to_string())
+}
+
+#[test]
+fn a_key_tells_its_account_and_a_route_for_all_needs_none() {
+    let names = names();
+    let catalog = catalog(accounts(vec![entry("north", &[KEY])], Vec::new()));
+    let keyed = head(&[(&names.key, KEY.as_bytes())]);
+    let bare = head(&[]);
+    let wrong = head(&[(&names.key, b"k-2")]);
+
+    let of = |route: &Route, head: &RequestHead| identify(&catalog, route, &names, head);
+
+    assert_eq!(name_of(of(&closed(), &keyed)).as_deref(), Some("north"));
+    assert_eq!(name_of(of(&open(), &keyed)).as_deref(), Some("north"));
+    assert_eq!(of(&open(), &bare), Ok(None));
+    assert_eq!(of(&open(), &wrong), Ok(None));
+    assert_eq!(of(&closed(), &bare), Err(Unidentified::NoAccount));
+    assert_eq!(of(&closed(), &wrong), Err(Unidentified::NoAccount));
+    let none = Catalog::new(CatalogParts::default());
+    assert_eq!(identify(&none, &closed(), &names, &bare), Ok(None));
+}
+
+/// Story: a caller sends its key with another one, or an empty one, or one in other letters. If a
+/// backend server read the second key, the request would run for an account that was never asked.
+#[test]
+fn a_key_that_is_repeated_empty_or_spelled_otherwise_is_none() {
+    let names = names();
+    let catalog = catalog(accounts(vec![entry("north", &[KEY])], Vec::new()));
+    let spellings: [&[&[u8]]; 7] = [
+        &[b"k-1", b"k-1"],
+        &[b"k-1", b""],
+        &[b""],
+        &[b"K-1"],
+        &[b"k-1, k-1"],
+        &[b"Bearer k-1"],
+        &[b"k-1\xff"],
+    ];
+    for spelling in spellings {
+        let headers: Vec<_> = spelling.iter().map(|value| (&names.key, *value)).collect();
+        let found = identify(&catalog, &closed(), &names, &head(&headers));
+        assert_eq!(found, Err(Unidentified::NoAccount), "{spelling:?}");
+    }
+}
+
+/// Story: a caller names an account of its choice in the header that backend servers trust. It
+/// would act for that account.
+#[test]
+fn what_a_caller_says_of_its_account_reaches_no_server() {
+    let names = names();
+    let known = [KEY, "k-2", ""];
+    check()
+        .with_type::<(u8, Vec<Vec<u8>>, bool)>()
+        .for_each(|(key, claims, public)| {
+            let catalog = catalog(accounts(
+                vec![entry("north", &[KEY]), entry("south", &["k-2"])],
+                Vec::new(),
+            ));
+            let key = known[usize::from(*key) % known.len()].as_bytes();
+            let mut head = head(&[(&names.key, key)]);
+            for claim in claims {
+                if let Ok(value) = HeaderValue::from_bytes(claim) {
+                    head.headers.append(&names.account, value);
+                }
+            }
+            let route = if *public { open() } else { closed() };
+            let Ok(account) = identify(&catalog, &route, &names, &head) else {
+                assert!(key.is_empty() && !public);
+                return;
+            };
+
+            name_account(&names, &mut head, account.as_deref());
+
+            assert!(!head.headers.contains_key(&names.key));
+            let told: Vec<_> = head.headers.get_all(&names.account).iter().collect();
+            let expected: Vec<&str> = match key {
+                b"k-1" => vec!["north"],
+                b"k-2" => vec!["south"],
+                _ => Vec::new(),
+            };
+            assert_eq!(told, expected);
+        });
+}
+
+/// Story: one account of the configuration can't be read, or two hold one key. A 401 would tell
+/// their callers for good that their keys are gone, and running them would act for an account that
+/// nobody is sure of.
+#[test]
+fn a_key_of_no_sure_owner_is_neither_run_nor_denied() {
+    let held_twice = vec![entry("north", &[KEY, "k-n"]), entry("south", &[KEY])];
+
+    let shared = accounts(held_twice, Vec::new());
+    let one_row = accounts(vec![entry("north", &["k-n"])], vec![unread(Some(&[KEY]))]);
+    let no_keys = accounts(vec![entry("north", &["k-n"])], vec![unread(None)]);
+
+    for accounts in [&shared, &one_row, &no_keys] {
+        assert_eq!(accounts.owner(KEY), KeyOwner::Unsure);
+        assert!(matches!(accounts.owner("k-n"), KeyOwner::Account(_)));
+    }
+    assert_eq!(one_row.owner("guess"), KeyOwner::Nobody);
+    assert_eq!(no_keys.owner("guess"), KeyOwner::Unsure);
+    assert_eq!(Accounts::unread().owner(KEY), KeyOwner::Unsure);
+}
+
+#[test]
+fn two_accounts_of_one_name_and_one_without_keys_are_told_of() {
+    let entries = vec![
+        entry("north", &["k-1"]),
+        entry("north", &["k-2"]),
+        entry("south", &[]),
+    ];
+
+    let (accounts, remarks) = Accounts::new(entries, Vec::new());
+
+    assert!(matches!(accounts.owner("k-1"), KeyOwner::Account(_)));
+    assert_eq!(accounts.owner("k-2"), KeyOwner::Unsure);
+    assert!(
+        remarks
+            .iter()
+            .any(|remark| remark.contains("two of this name"))
+    );
+    assert!(
+        remarks
+            .iter()
+            .any(|remark| remark.contains("'south': it has no key"))
+    );
+}
+
+#[test]
+fn a_key_stands_in_no_debug_text() {
+    let accounts = accounts(vec![entry("north", &["k-secret"])], Vec::new());
+    assert!(!format!("{accounts:?}").contains("secret"));
+}
+
+/// Story: a VM hands a request to the home of its server with the account's name in place of the
+/// key. The home knows no such account, so it must not run the request for nobody.
+#[test]
+fn a_home_takes_only_an_account_that_it_knows() {
+    let names = names();
+    let catalog = catalog(accounts(vec![entry("north", &[KEY])], Vec::new()));
+    let of = |route: &Route, account: Option<&[u8]>| {
+        let headers: Vec<_> = account.into_iter().map(|a| (&names.account, a)).collect();
+        identified(&catalog, route, &names, &head(&headers))
+    };
+
+    assert_eq!(
+        name_of(of(&closed(), Some(b"north"))).as_deref(),
+        Some("north")
+    );
+    assert_eq!(of(&closed(), Some(b"south")), Err(Unidentified::NoAccount));
+    assert_eq!(of(&open(), Some(b"south")), Err(Unidentified::NoAccount));
+    assert_eq!(of(&closed(), None), Err(Unidentified::NoAccount));
+    assert_eq!(of(&open(), None), Ok(None));
+}
+
+#[test]
+fn homes_of_route_and_account_both_bind() {
+    let regions = |names: &[&str]| -> Vec<_> { names.iter().map(|n| (*n).into()).collect() };
+    let allowed = |route: &[&str], account: &[&str], region: &str| {
+        AllowedRegions::of(&regions(route), &regions(account)).allow(&region.into())
+    };
+
+    assert!(allowed(&[], &[], "north"));
+    assert!(allowed(&["north"], &[], "north") && !allowed(&["north"], &[], "south"));
+    assert!(allowed(&[], &["north"], "north") && !allowed(&[], &["north"], "south"));
+    assert!(allowed(&["north", "south"], &["south"], "south"));
+    assert!(!allowed(&["north", "south"], &["south"], "north"));
+    assert!(AllowedRegions::of(&regions(&["north"]), &regions(&["south"])).are_none());
+    assert!(!AllowedRegions::of(&regions(&["north"]), &[]).are_none());
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -114,6 +114,7 @@
         large_answers: false,
         large_bodies: false,
         sticky: true,
+        public: false,
     }
 }
 
@@ -158,17 +159,24 @@
     Ok(reg)
 }
 
-pub fn dialect() -> Dialect {
+/// The headers of the tests' platform.
+pub fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
+    HeaderNames {
+        request_id: name("id"),
+        time_left: name("left"),
+        expected_server: name("expected"),
+        signature: name("signature"),
+        not_run: name("not-run"),
+        server_load: name("load"),
+        key: name("caller-key"),
+        account: name("account"),
+    }
+}
+
+pub fn dialect() -> Dialect {
     Dialect {
-        headers: HeaderNames {
-            request_id: name("id"),
-            time_left: name("left"),
-            expected_server: name("expected"),
-            signature: name("signature"),
-            not_run: name("not-run"),
-            server_load: name("load"),
-        },
+        headers: header_names(),
         keys: KeyNames {
             catalog: "catalog",
             servers: "server/",
