--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -14,6 +14,7 @@
 use crate::context::{EdgeContext, ServiceState};
 use crate::hand_over::HandedWord;
 use crate::identify::{self, Unidentified};
+use crate::presence;
 use crate::quota::meter::{Over, Verdict};
 use crate::switches::Mechanism;
 
@@ -237,6 +238,9 @@
     let Some(account) = account.filter(|_| cx.switches.has(Mechanism::Quota)) else {
         return Ok(());
     };
+    if !cx.quota.knows_vms() {
+        presence::refresh(cx);
+    }
     let draw = cx.rng.borrow_mut().f64();
     match cx.quota.ask(account, draw) {
         Verdict::Admitted => Ok(()),
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -178,6 +178,7 @@
     cx.metrics.vms.set(vms.len() as i64);
     if cx.feed.mirror().at() > StoreRevision(0) {
         cx.most_vms.set(cx.most_vms.get().max(vms.len()));
+        cx.quota.note_vms(vms.len());
     }
     vms.sort_by(|a, b| a.name.cmp(&b.name));
     if **cx.vms.borrow() == vms {
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -8,7 +8,6 @@
 use heatherknot_http::Flag;
 use heatherknot_peer::options::CallOptions;
 use heatherknot_peer::{MethodTable, PeerError, PeerId};
-use heatherknot_store::port::StoreRevision;
 use heatherknot_types::prelude::*;
 use log::debug;
 use serde::{Deserialize, Serialize};
@@ -107,6 +106,16 @@
         }
     }
 
+    /// Takes in how many VMs there are, once all of them are known.
+    pub fn note_vms(&self, vms: usize) {
+        self.seen.borrow_mut().note(vms, self.timer.now());
+    }
+
+    /// Says whether it is known how many VMs there are.
+    pub fn knows_vms(&self) -> bool {
+        self.seen.borrow().most() > 0
+    }
+
     /// Says whether a request of an account may run, and counts it; `draw` is drawn evenly from 0
     /// to 1.
     pub fn ask(&self, account: &Account, draw: f64) -> Verdict {
@@ -139,6 +148,13 @@
         self.pool.borrow_mut().standings(vms, self.timer.now())
     }
 
+    /// Says whether this VM was told lately what may be admitted. One that has just started refuses
+    /// a part of what callers may send until it is.
+    fn is_told(&self) -> bool {
+        let now = self.timer.now();
+        self.meter.borrow().told_age(now).is_some()
+    }
+
     fn catalog(&self) -> Option<Rc<Catalog>> {
         self.world.borrow().catalog().cloned()
     }
@@ -212,18 +228,16 @@
         let surge = Flag::new();
         *cx.quota.surge.borrow_mut() = surge.clone();
         cx.timer.wait(LEAST_PERIOD).await;
-        let rest = Millis(PERIOD.0 - LEAST_PERIOD.0);
-        select(surge.wait(), cx.timer.wait(rest)).await;
+        if cx.quota.is_told() {
+            let rest = Millis(PERIOD.0 - LEAST_PERIOD.0);
+            select(surge.wait(), cx.timer.wait(rest)).await;
+        }
         step(&cx);
     }
 }
 
 fn step(cx: &Rc<EdgeContext>) {
     let quota = &cx.quota;
-    if cx.feed.mirror().at() > StoreRevision(0) {
-        let vms = presence::alive(cx).len();
-        quota.seen.borrow_mut().note(vms, cx.now());
-    }
     let Some(catalog) = quota.catalog() else {
         return;
     };
@@ -231,6 +245,9 @@
     let Some(accounts) = catalog.accounts().filter(limited) else {
         return;
     };
+    if !quota.knows_vms() {
+        return;
+    }
     if !cx.switches.has(Mechanism::ToldQuota) {
         quota.meter.borrow_mut().take_untold();
         return;
--- a/crates/edge/src/quota/meter.rs
+++ b/crates/edge/src/quota/meter.rs
@@ -4,8 +4,8 @@
 
 use heatherknot_types::prelude::*;
 
-use super::SILENT_AFTER;
 use super::counts::{Count, Counts, add};
+use super::{LEFT_AT_START, SILENT_AFTER};
 use crate::accounts::RateLimit;
 
 /// The requests of one account that a VM has not told yet from which on it tells them at once.
@@ -29,6 +29,9 @@
 /// How much a VM may have taken beyond its own share, in seconds of it, while it went by its
 /// head's word, that it then makes up for when it hears nothing more.
 const LONGEST_DEBT: f64 = 1.0;
+/// When a caller may come back to a VM that hears nothing, in seconds. One that has started hears
+/// within half a second what may be admitted.
+const UNHEARD_RETURN: f64 = 0.5;
 /// Accounts that are remembered at most; all that are known are forgotten beyond it. It bounds the
 /// memory over many changes of the configuration: 100 bytes an account.
 const MAX_ACCOUNTS: usize = 20_000;
@@ -119,26 +122,31 @@
         let part = self.part(account, now);
         let lost = self.heard.map_or(Millis(0), |heard| heard + SILENT_AFTER);
         let round = self.rounds;
-        let admission = self.admission(account, now, draw);
+        let admission = self.admission(account, share, now, draw);
         admission.begin(share, round, lost, now, draw);
         let is_admitted = admission.admit(part, share);
         self.count(account, share, is_admitted);
         match is_admitted {
             true => Verdict::Admitted,
-            false => Verdict::Over(self.over(part, share, now)),
+            false => Verdict::Over(self.over(part, now)),
         }
     }
 
-    fn admission(&mut self, account: &AccountName, now: Millis, draw: f64) -> &mut Admission {
+    fn admission(
+        &mut self,
+        account: &AccountName,
+        share: Share,
+        now: Millis,
+        draw: f64,
+    ) -> &mut Admission {
         if self.accounts.len() >= MAX_ACCOUNTS && !self.accounts.contains_key(account) {
             self.accounts.clear();
         }
         let entry = self.accounts.entry(account.clone());
-        // Drawn anew on each VM, or all of them would admit or refuse their first requests. What
-        // was admitted before this process started is not known, so nothing of a burst is left.
+        // Drawn anew on each VM, or all of them would admit or refuse their first requests.
         entry.or_insert(Admission {
             credit: draw,
-            tokens: draw,
+            tokens: share.burst * LEFT_AT_START + draw,
             filled: now,
             round: 0,
             in_round: 0,
@@ -156,12 +164,11 @@
         self.has_surge |= asked >= SURGE && f64::from(asked) >= usual * SURGE_OF_SHARE;
     }
 
-    fn over(&self, part: Option<f64>, share: Share, now: Millis) -> Over {
+    fn over(&self, part: Option<f64>, now: Millis) -> Over {
         let come_back = match part {
             // What was refused within a second needs this long at the rate that is admitted.
             Some(part) => 1.0 / part.max(f64::MIN_POSITIVE) - 1.0,
-            // One token more.
-            None => 1.0 / share.per_second,
+            None => UNHEARD_RETURN,
         };
         let longest = LONGEST_RETURN.as_secs_f64();
         Over {
--- a/crates/edge/src/quota/pool.rs
+++ b/crates/edge/src/quota/pool.rs
@@ -4,8 +4,8 @@
 
 use heatherknot_types::prelude::*;
 
-use super::SILENT_AFTER;
 use super::counts::{Counts, Word, add};
+use super::{LEFT_AT_START, SILENT_AFTER};
 use crate::accounts::{Accounts, RateLimit};
 use crate::window::Window;
 
@@ -83,9 +83,6 @@
 
 impl Pool {
     /// Makes a pool that knows nothing of what was admitted before `now`.
-    ///
-    /// Bursts are empty then: what was admitted just before a restart of all VMs is not known any
-    /// more, and a full burst after it would be a second one within the same seconds.
     pub fn new(now: Millis) -> Self {
         Self {
             started: now,
@@ -154,9 +151,9 @@
             let Some(limit) = accounts.named(name.as_str()).and_then(|a| a.limit) else {
                 continue;
             };
-            let started = self.started;
+            let (started, reached) = (self.started, self.reached);
             let total = self.totals.entry(name.clone());
-            let total = total.or_insert_with(|| Total::new(limit, started));
+            let total = total.or_insert_with(|| Total::new(limit, reached, started));
             total.fill(limit, self.reached, now);
             total.level -= f64::from(count.admitted);
             total.asked.add(now, f64::from(count.asked));
@@ -230,8 +227,13 @@
         let lately = self.heard_lately(now);
         let heard: u32 = lately.map(|sender| sender.vms.unwrap_or(1)).sum();
         // This VM itself is one more.
-        let reached = (heard as usize + 1).min(vms);
-        self.reached = reached as f64 / vms.max(1) as f64;
+        let reached = (heard as usize + 1).min(vms) as f64 / vms.max(1) as f64;
+        let more = (reached - self.reached).max(0.0);
+        for total in self.totals.values_mut() {
+            // VMs that are heard anew bring what they have left of their shares.
+            total.level += total.limit.burst * more * LEFT_AT_START;
+        }
+        self.reached = reached;
     }
 
     fn forget(&mut self, accounts: &Accounts, now: Millis) {
@@ -252,12 +254,12 @@
 }
 
 impl Total {
-    fn new(limit: RateLimit, started: Millis) -> Self {
+    fn new(limit: RateLimit, reached: f64, started: Millis) -> Self {
         let span = Millis((IN_A_SPAN / limit.per_second * 1000.0) as u64);
         let span = span.clamp(SHORTEST_SPAN, LONGEST_SPAN);
         Self {
             limit,
-            level: 0.0,
+            level: limit.burst * reached * LEFT_AT_START,
             filled: started,
             asked: Window::new(span),
             span,
