Let requests that may run anywhere give way in regions to which accounts are bound

Change: each region leaves a part of its room to free requests, filled up alike by the accounts' limits, which all VMs know alike (room.rs). The part weighs the rank of servers for free requests, and the room of the threshold of objects sent away.

Ruled out so far: nothing else was tried; what servers tell is the other way.

Adds `heatherknot accounts`, which shows limits, what is asked and what is admitted by account.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -43,6 +43,8 @@
     Trace,
     /// Splits the requests that were not answered in time, from logs.
     Losses,
+    /// Shows what daemons know of client accounts.
+    Accounts,
 }
 
 /// How a command is written.
@@ -74,6 +76,8 @@
 
 /// The most logs that one story is told from, and its identifier.
 const MAX_LOGS: usize = 1_025;
+/// The most daemons that one run asks for accounts.
+const MAX_DAEMONS: usize = 1_024;
 /// The most traces that one run replays.
 const MAX_TRACES: usize = 256;
 
@@ -97,7 +101,7 @@
 }
 
 /// Every command, in the order of the help.
-pub static COMMANDS: [CommandSpec; 19] = [
+pub static COMMANDS: [CommandSpec; 20] = [
     spec(
         Command::Get,
         "get",
@@ -250,6 +254,14 @@
         &[],
         "Say why requests were refused, failed or late, by reason, route, VM and moment, from the logs of VMs.",
     ),
+    spec(
+        Command::Accounts,
+        "accounts",
+        "ADDRESS...",
+        (1, MAX_DAEMONS),
+        &[],
+        "Show limits, requests and what is admitted of each client account, as daemons know it; ADDRESS is a daemon's for metrics.",
+    ),
 ];
 
 impl Command {
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -1,5 +1,6 @@
 //! What each command does.
 
+mod accounts;
 mod change;
 mod key;
 mod logs;
@@ -33,6 +34,7 @@
         Command::Replay => return replay::replay(invocation),
         Command::Trace => return trace::trace(invocation),
         Command::Losses => return losses::losses(invocation),
+        Command::Accounts => return accounts::accounts(invocation),
         _ => {}
     }
     let servers = invocation.options.servers(env.servers.as_deref())?;
--- a/crates/edge/examples/choice_bench.rs
+++ b/crates/edge/examples/choice_bench.rs
@@ -65,6 +65,7 @@
         left: Millis(2_500),
         now: Millis(0),
         switches: Switches::default(),
+        is_bound: false,
         named: None,
         is_home: &|_| false,
     };
--- a/crates/edge/src/accounts.rs
+++ b/crates/edge/src/accounts.rs
@@ -86,6 +86,15 @@
     Nobody,
 }
 
+/// A part of all requests that only some regions may run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BoundShare {
+    /// The regions.
+    pub regions: Vec<RegionName>,
+    /// The part, as far as the accounts' limits tell it.
+    pub part: f64,
+}
+
 /// The client accounts of one configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
@@ -94,6 +103,7 @@
     by_key: HashMap<ApiKey, Option<Arc<Account>>>,
     /// Whether there may be accounts whose keys can't be read.
     hides_keys: bool,
+    bound: Vec<BoundShare>,
 }
 
 impl Accounts {
@@ -117,6 +127,7 @@
                 None => accounts.hides_keys = true,
             }
         }
+        accounts.bound = bound_shares(&accounts.by_name);
         (accounts, remarks)
     }
 
@@ -172,12 +183,41 @@
         self.by_name.get(name)
     }
 
+    /// Gives which parts of all requests only some regions may run.
+    pub fn bound(&self) -> &[BoundShare] {
+        &self.bound
+    }
+
     /// Gives every account.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
     }
 }
 
+/// Gives the shares of accounts with home regions. An account's limit stands for what it sends:
+/// all VMs know it alike, and limits are set by what accounts need. One without a limit counts as
+/// the mean of the others.
+fn bound_shares(accounts: &HashMap<AccountName, Arc<Account>>) -> Vec<BoundShare> {
+    let limits = accounts.values().filter_map(|account| account.limit);
+    let limits: Vec<f64> = limits.map(|limit| limit.per_second).collect();
+    let mean = match limits.len() {
+        0 => 1.0,
+        count => limits.iter().sum::<f64>() / count as f64,
+    };
+    let sends = |account: &Account| account.limit.map_or(mean, |limit| limit.per_second);
+    let all: f64 = accounts.values().map(|account| sends(account)).sum();
+    let mut bound: Vec<&Arc<Account>> = accounts
+        .values()
+        .filter(|account| !account.home_regions.is_empty())
+        .collect();
+    bound.sort_by(|a, b| a.name.cmp(&b.name));
+    let shares = bound.into_iter().map(|account| BoundShare {
+        regions: account.home_regions.clone(),
+        part: sends(account) / all,
+    });
+    shares.collect()
+}
+
 /// The regions that may run a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AllowedRegions {
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -62,6 +62,8 @@
     pub left: Millis,
     /// Now.
     pub now: Millis,
+    /// Whether it may run in some regions only.
+    pub is_bound: bool,
     /// Which mechanisms are on.
     pub switches: Switches,
     /// The server that another VM has found to be the first of the rank.
@@ -239,7 +241,11 @@
 fn place_in_rank(wish: &Wish<'_>, upstream: &Upstream) -> f64 {
     let object = wish.object.to_le_bytes();
     let drawn = hash::rendezvous(&[&object], upstream.id.as_str());
-    -hash::unit_interval(drawn).ln() / f64::from(upstream.slots.get())
+    let open = match wish.is_bound {
+        true => 1.0,
+        false => upstream.open_part.get(),
+    };
+    -hash::unit_interval(drawn).ln() / (f64::from(upstream.slots.get()) * open)
 }
 
 fn prospect(wish: &Wish<'_>, upstream: &Rc<Upstream>, is_first: bool, pace: &Pace) -> Prospect {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -23,6 +23,7 @@
 use crate::quota::exchange::Quota;
 use crate::reach::RouteReach;
 use crate::relay::Relay;
+use crate::room::RegionParts;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
 use crate::split::Split;
@@ -111,6 +112,8 @@
     pub asked: RefCell<Window>,
     /// Which part of the objects other regions serve.
     pub spill: Spill,
+    /// Which part of its room each region leaves to requests that may run anywhere.
+    pub parts: RegionParts,
     /// When each cold backend server may get its next request from this VM.
     pub cold_next: RefCell<HashMap<UpstreamName, Millis>>,
 }
@@ -130,6 +133,7 @@
                 budget: RefCell::new(RetryBudget::new(&self.bounds)),
                 asked: RefCell::new(Window::new(IDLE_KEPT)),
                 spill: Spill::default(),
+                parts: RegionParts::default(),
                 cold_next: RefCell::default(),
             })
         });
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::presence::VmEntries;
 use crate::quota::exchange::{self, Quota};
+use crate::quota::report;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
 use crate::upstream::{self, IDLE_KEPT};
@@ -39,6 +40,8 @@
 const TICKS_A_SWEEP: u64 = 8;
 /// What the token of requests that are handed over is made for.
 const HANDED_PURPOSE: &str = "requests handed over";
+/// Where a daemon tells what it knows of client accounts, on its metrics address.
+pub const ACCOUNTS_PATH: &str = "/accounts";
 /// When a caller may repeat a look-up that found no VM.
 const LOOKUP_RETURN: Millis = Millis(300);
 /// Requests of one connection that are handled beside its first one. Their answers wait in
@@ -435,14 +438,31 @@
     })
 }
 
+/// Answers on the metrics address: what is known of client accounts, or the metrics.
 fn metrics_handler(cx: &Rc<EdgeContext>) -> Handler {
     let cx = Rc::clone(cx);
-    Rc::new(move |_| {
-        let text = TextEncoder::new().encode_to_string(&cx.registry.gather());
-        let response = match text {
-            Ok(text) => Response::text(StatusCode::OK, text),
-            Err(error) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    Rc::new(move |req| {
+        let response = match req.head.path() {
+            ACCOUNTS_PATH => accounts_page(&cx),
+            _ => metrics_page(&cx),
         };
         Box::pin(std::future::ready(response))
     })
 }
+
+fn metrics_page(cx: &EdgeContext) -> Response {
+    match TextEncoder::new().encode_to_string(&cx.registry.gather()) {
+        Ok(text) => Response::text(StatusCode::OK, text),
+        Err(error) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
+fn accounts_page(cx: &EdgeContext) -> Response {
+    let catalog = cx.world.borrow().catalog().cloned();
+    let accounts = catalog.as_ref().and_then(|catalog| catalog.accounts());
+    let reports = accounts.map(|accounts| report::report(&cx.quota, accounts));
+    match serde_json::to_vec(&reports.unwrap_or_default()) {
+        Ok(body) => Response::json(StatusCode::OK, body),
+        Err(error) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod registration;
 pub mod relay;
 mod reply;
+pub mod room;
 pub mod settings;
 pub mod spill;
 mod spill_step;
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -5,6 +5,7 @@
 use heatherknot_types::hash;
 use heatherknot_types::prelude::*;
 
+use crate::accounts::AllowedRegions;
 use crate::call::Call;
 use crate::choose::{self, Place, Prospect, Wish, choose};
 use crate::context::EdgeContext;
@@ -98,6 +99,7 @@
         target: call.route.latency_target,
         left: call.left(now),
         now,
+        is_bound: call.regions != AllowedRegions::Any,
         switches: cx.switches,
         named: call.meant.as_ref(),
         is_home,
@@ -119,6 +121,7 @@
     if call.meant.is_some() {
         return Place::Region;
     }
+    call.state.parts.note_use();
     let route = cx.route(&call.route.name);
     route.place(call.object, &call.state.spill, cx.switches)
 }
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -1,6 +1,6 @@
 //! Carries counts to the heads of domains, and what may be admitted back.
 
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
@@ -142,7 +142,17 @@
         }
     }
 
-    /// Gives what is known of each account, and how old it is where this VM collects none of it.
+    /// Gives what this VM admits by.
+    pub fn meter(&self) -> Ref<'_, Meter> {
+        self.meter.borrow()
+    }
+
+    /// Gives the current time.
+    pub fn now(&self) -> Millis {
+        self.timer.now()
+    }
+
+    /// Gives what is known of each account of which this VM collects any counts.
     pub fn standings(&self) -> HashMap<AccountName, Standing> {
         let vms = self.seen.borrow().most();
         self.pool.borrow_mut().standings(vms, self.timer.now())
--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -5,12 +5,13 @@
 //! of a second late, and works out which part of an account's requests may be admitted now
 //! ([`pool`]); the answer to a VM's word names the accounts of which that is not all. A VM admits
 //! by that part, and by its own small share of the limit while it hears nothing ([`meter`]).
-//! [`exchange`] carries the words. Nothing of this calls the store.
+//! [`exchange`] carries the words; [`report`] is what operators see. Nothing of this calls the store.
 
 pub mod counts;
 pub mod exchange;
 pub mod meter;
 pub mod pool;
+pub mod report;
 
 use heatherknot_types::prelude::*;
 
--- a/crates/edge/src/spill_step.rs
+++ b/crates/edge/src/spill_step.rs
@@ -1,15 +1,20 @@
 //! Moves the thresholds of all services and routes by what servers and VMs there are.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use heatherknot_types::prelude::*;
 
+use crate::accounts::Accounts;
+use crate::catalog::Catalog;
 use crate::context::EdgeContext;
 use crate::presence;
 use crate::reach::Distance;
+use crate::room::parts_left;
 use crate::spill::Room;
 use crate::switches::Mechanism;
 use crate::upstream::Upstream;
+use crate::world::World;
 
 /// Moves each threshold once.
 pub(crate) fn run(cx: &EdgeContext) {
@@ -18,6 +23,9 @@
     let Some(catalog) = catalog else {
         return;
     };
+    for spec in catalog.services() {
+        step_parts(cx, &catalog, &spec.name, now);
+    }
     let has = |mechanism| cx.switches.has(mechanism);
     for spec in catalog.services().filter(|_| has(Mechanism::Spill)) {
         let state = cx.service(&spec.name);
@@ -46,17 +54,48 @@
     routes.retain(|name, _| catalog.has_route(name));
 }
 
+/// Moves the parts of a service's regions that are left to requests which may run anywhere.
+fn step_parts(cx: &EdgeContext, catalog: &Catalog, service: &ServiceName, now: Millis) {
+    let bound = catalog.accounts().map_or(&[][..], Accounts::bound);
+    let bound = match cx.switches.has(Mechanism::GiveWay) {
+        true => bound,
+        false => &[],
+    };
+    let parts = &cx.service(service).parts;
+    if bound.is_empty() && parts.are_whole() {
+        return;
+    }
+    let world = cx.world.borrow();
+    let upstreams = world.upstreams(service);
+    let mut slots: BTreeMap<RegionName, f64> = BTreeMap::new();
+    for upstream in usable(&world, &upstreams, now) {
+        *slots.entry(upstream.region.clone()).or_default() += f64::from(upstream.slots.get());
+    }
+    parts.step(&parts_left(&slots, bound), now);
+    for upstream in upstreams.iter() {
+        upstream.open_part.set(parts.of(&upstream.region));
+    }
+}
+
+fn usable<'a>(
+    world: &'a World,
+    upstreams: &'a [Rc<Upstream>],
+    now: Millis,
+) -> impl Iterator<Item = &'a Rc<Upstream>> {
+    upstreams
+        .iter()
+        .filter(move |u| u.takes_requests() && !world.is_evacuated(&u.domain) && !u.is_cold(now))
+}
+
 fn room(cx: &EdgeContext, service: &ServiceName, now: Millis) -> Room {
     let world = cx.world.borrow();
-    let usable =
-        |u: &Upstream| u.takes_requests() && !world.is_evacuated(&u.domain) && !u.is_cold(now);
     let regions: BTreeSet<&RegionName> = cx.cfg.domains.values().collect();
     let mut room = Room {
         regions: regions.len(),
         ..Room::default()
     };
-    for upstream in world.upstreams(service).iter().filter(|u| usable(u)) {
-        let slots = f64::from(upstream.slots.get());
+    for upstream in usable(&world, &world.upstreams(service), now) {
+        let slots = f64::from(upstream.slots.get()) * upstream.open_part.get();
         match upstream.region == cx.region {
             true => room.own += slots,
             false => room.elsewhere += slots,
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -32,6 +32,8 @@
     ColdCost,
     /// Requests are handed to the home of their backend server.
     HandOver,
+    /// Requests that may run anywhere leave room to those that may not.
+    GiveWay,
     /// Client accounts are held to their limits.
     Quota,
     /// VMs tell each other what they admitted; else each keeps to its share of the limits.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -57,6 +57,8 @@
     pub cold_until: Cell<Millis>,
     /// Whether it counts as cold only until it says otherwise.
     pub cold_unless_told: Cell<bool>,
+    /// The part of its room that is left to requests which may run anywhere.
+    pub open_part: Cell<f64>,
     /// When it registered, on this process's clock.
     pub joined: Millis,
     in_flight: Cell<u32>,
@@ -124,6 +126,7 @@
             replaced: Cell::new(false),
             cold_until: Cell::new(Millis(0)),
             cold_unless_told: Cell::new(false),
+            open_part: Cell::new(1.0),
             joined: clock.now(),
             in_flight: Cell::new(0),
             others: Ewma::default(),
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -29,6 +29,7 @@
         left: Millis(1_500),
         now,
         switches: Switches::default(),
+        is_bound: false,
         named: None,
         is_home: &|_| false,
     }
--- a/crates/edge/tests/load_patterns.rs
+++ b/crates/edge/tests/load_patterns.rs
@@ -156,6 +156,7 @@
         left: Millis(2_500),
         now: clock.now(),
         switches: Switches::default(),
+        is_bound: false,
         named: None,
         is_home: &|_| true,
     };
