--- /dev/null
+++ b/crates/cli/tests/accounts.rs
@@ -0,0 +1,94 @@
+//! `heatherknot accounts` against daemons' metrics addresses.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use heatherknot_cli::exit::Exit;
+use heatherknot_http::{Flag, Limits, Response, serve};
+use heatherknot_test_support::runtime::block_on;
+use http::StatusCode;
+use serde_json::{Value as Json, json};
+use support::{cli, json_of};
+
+/// Starts what answers like a daemon's metrics address, until the test's process ends.
+fn daemon(page: Json) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    std::thread::spawn(move || {
+        block_on(async move {
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let handler = Rc::new(move |req: heatherknot_http::Request| {
+                let response = match req.head.path() {
+                    "/accounts" => Response::json(StatusCode::OK, page.to_string()),
+                    _ => Response::text(StatusCode::NOT_FOUND, ""),
+                };
+                Box::pin(std::future::ready(response)) as _
+            });
+            serve(listener, handler, Limits::default(), Flag::new()).await;
+        });
+    });
+    address
+}
+
+fn account(name: &str, asked: Option<f64>, part: Option<f64>) -> Json {
+    json!({
+        "account": name, "per_second": 25.0, "burst": 25.0, "home_regions": ["south"],
+        "asked": asked, "level": asked.map(|_| -3.5), "part": part,
+        "age_ms": part.map(|_| 120),
+    })
+}
+
+#[test]
+fn the_daemon_that_collects_an_accounts_counts_is_shown() {
+    let leaf = daemon(json!([account("north", None, Some(1.0))])).to_string();
+    let head = daemon(json!([account("north", Some(61.0), Some(0.4))])).to_string();
+
+    let shown = cli(&[], &["accounts", &leaf, &head]);
+    let json = cli(&[], &["accounts", "--json", &leaf, &head]);
+
+    assert_eq!(shown.exit, Exit::Ok);
+    let line = shown
+        .out
+        .lines()
+        .find(|line| line.starts_with("north"))
+        .unwrap();
+    let cells: Vec<&str> = line.split_whitespace().collect();
+    assert_eq!(cells[..6], ["north", "25.0", "25.0", "61.0", "-3.5", "40%"]);
+    assert_eq!(cells.last(), Some(&head.as_str()));
+    assert_eq!(json_of(&json)[0]["asked"], 61.0);
+}
+
+#[test]
+fn a_daemon_that_hears_nothing_goes_by_its_own_share() {
+    let alone = daemon(json!([account("north", None, None)])).to_string();
+
+    let shown = cli(&[], &["accounts", &alone]);
+
+    assert!(shown.out.contains("own share"));
+}
+
+#[test]
+fn daemons_that_do_not_answer_are_named_beside_those_that_do() {
+    let free = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let head = daemon(json!([account("north", Some(1.0), Some(1.0))]));
+
+    let some = cli(&[], &["accounts", &free.to_string(), &head.to_string()]);
+    let none = cli(&[], &["accounts", &free.to_string()]);
+    let wrong = cli(&[], &["accounts", "localhost"]);
+
+    assert_eq!(some.exit, Exit::Ok);
+    assert!(some.err.contains(&free.to_string()));
+    assert_ne!(none.exit, Exit::Ok);
+    assert!(none.err.contains(&free.to_string()));
+    assert!(
+        wrong
+            .err
+            .contains("found `localhost`, expected one such as")
+    );
+}
--- a/crates/edge/examples/choice_bench.rs
+++ b/crates/edge/examples/choice_bench.rs
@@ -68,6 +68,7 @@
         is_bound: false,
         named: None,
         is_home: &|_| false,
+        spread: None,
     };
     println!("microseconds a choice: least, median, most of {ROUNDS} rounds");
     for count in [100, 1_000, 10_000] {
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -11,6 +11,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::pace::Pace;
+use crate::spread::Spread;
 use crate::switches::{Mechanism, Switches};
 use crate::upstream::Upstream;
 
@@ -70,6 +71,8 @@
     pub named: Option<&'a UpstreamName>,
     /// Says whether this VM is the home of a server.
     pub is_home: &'a dyn Fn(&Upstream) -> bool,
+    /// Where the homes of servers put objects, while all requests for them come there.
+    pub spread: Option<&'a Spread>,
 }
 
 /// A server that may get the request, as it is expected to do.
@@ -161,7 +164,8 @@
     pace: &Pace,
     order: Order<'_>,
 ) -> Option<Prospect> {
-    let chosen = first_of_rank(wish, servers.iter().copied(), order)?;
+    let ranked_first = first_of_rank(wish, servers.iter().copied(), order)?;
+    let chosen = &put_evenly(wish, ranked_first, servers);
     let first = prospect(wish, chosen, true, pace);
     if first.free {
         return Some(first);
@@ -179,6 +183,18 @@
     Some(spare.unwrap_or(first))
 }
 
+/// Gives where the home of the first server of an object's rank puts the object.
+fn put_evenly(wish: &Wish<'_>, first: &Rc<Upstream>, servers: &[&Rc<Upstream>]) -> Rc<Upstream> {
+    match wish.spread.filter(|_| (wish.is_home)(first)) {
+        Some(spread) => {
+            let own = servers.iter().copied().filter(|u| (wish.is_home)(u));
+            let own: Vec<&Rc<Upstream>> = own.collect();
+            spread.server_of(wish.object, first, &own, wish.now)
+        }
+        None => Rc::clone(first),
+    }
+}
+
 /// Says whether the servers whose home this VM is have room for copies of objects, the one whose
 /// requests would come late left out.
 ///
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -27,6 +27,7 @@
 use crate::settings::{Bounds, EdgeConfig};
 use crate::spill::Spill;
 use crate::split::Split;
+use crate::spread::Spread;
 use crate::switches::Switches;
 use crate::upstream::IDLE_KEPT;
 use crate::window::Window;
@@ -114,6 +115,8 @@
     pub spill: Spill,
     /// Which part of its room each region leaves to requests that may run anywhere.
     pub parts: RegionParts,
+    /// Where objects are put, as far as this VM is the home of their servers.
+    pub spread: Spread,
     /// When each cold backend server may get its next request from this VM.
     pub cold_next: RefCell<HashMap<UpstreamName, Millis>>,
 }
@@ -134,6 +137,7 @@
                 asked: RefCell::new(Window::new(IDLE_KEPT)),
                 spill: Spill::default(),
                 parts: RegionParts::default(),
+                spread: Spread::default(),
                 cold_next: RefCell::default(),
             })
         });
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -146,14 +146,8 @@
 
 /// Gives the first server of a request's rank and that server's home, where the request is to be
 /// handed over.
-///
-/// It is not where this VM asks the service's servers so often that it keeps connections to
-/// them itself, and knows their load; nor where the request carries much, which would go through
-/// the links of one VM more.
 fn wanted_home(cx: &EdgeContext, call: &Call) -> Option<(Rc<Upstream>, Home)> {
-    let route = cx.route(&call.route.name);
-    let takes_part = cx.cfg.listen.handed.is_some() && cx.switches.has(Mechanism::HandOver);
-    if !takes_part || call.meant.is_some() || route.is_large() || !is_seldom(cx, call) {
+    if call.meant.is_some() || !goes_by_home(cx, call) {
         return None;
     }
     let first = pick::first(cx, call)?;
@@ -161,6 +155,22 @@
     (home.vm != cx.cfg.vm).then_some((first, home))
 }
 
+/// Says whether a request goes by the home of its server, which may be this VM.
+///
+/// It does not where this VM asks the service's servers so often that it keeps connections to
+/// them itself, and knows their load; nor where the request carries much, which would go through
+/// the links of one VM more.
+pub(crate) fn goes_by_home(cx: &EdgeContext, call: &Call) -> bool {
+    let takes_part = cx.cfg.listen.handed.is_some() && cx.switches.has(Mechanism::HandOver);
+    takes_part && !cx.route(&call.route.name).is_large() && is_seldom(cx, call)
+}
+
+/// Says whether objects may be put where this VM, as the home of their servers, likes: a request
+/// came here over another VM, or this VM would hand it over if it were not the home itself.
+pub(crate) fn may_put(cx: &EdgeContext, call: &Call) -> bool {
+    cx.switches.has(Mechanism::Spread) && (call.meant.is_some() || goes_by_home(cx, call))
+}
+
 /// Says whether this VM has so few requests for each server of a service, in the time for which an
 /// idle connection to one is kept, that most would open one.
 fn is_seldom(cx: &EdgeContext, call: &Call) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod spill;
 mod spill_step;
 pub mod split;
+pub mod spread;
 mod stop;
 mod story;
 pub mod switches;
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -9,6 +9,7 @@
 use crate::call::Call;
 use crate::choose::{self, Place, Prospect, Wish, choose};
 use crate::context::EdgeContext;
+use crate::hand_over;
 use crate::switches::Mechanism;
 use crate::upstream::Upstream;
 
@@ -52,7 +53,12 @@
     }
     let candidates = candidates(cx, call, tried, now);
     let is_home = |u: &Upstream| is_home(cx, u);
-    let wish = wish(cx, call, now, &is_home);
+    // A request that is sent once more leaves its object where it is.
+    let may_put = tried.is_empty() && hand_over::may_put(cx, call);
+    let wish = Wish {
+        spread: may_put.then_some(&call.state.spread),
+        ..wish(cx, call, now, &is_home)
+    };
     let place = place(cx, call);
     let Some(best) = choose(&wish, &candidates, &call.state.pace, place) else {
         return Err(refuse("no backend server can take it", USUAL_RETURN));
@@ -103,6 +109,7 @@
         switches: cx.switches,
         named: call.meant.as_ref(),
         is_home,
+        spread: None,
     }
 }
 
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -38,6 +38,8 @@
     Quota,
     /// VMs tell each other what they admitted; else each keeps to its share of the limits.
     ToldQuota,
+    /// Homes spread objects evenly over their servers.
+    Spread,
     /// Requests sent ahead are handled side by side.
     Ahead,
 }
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -32,6 +32,7 @@
         is_bound: false,
         named: None,
         is_home: &|_| false,
+        spread: None,
     }
 }
 
--- a/crates/edge/tests/load_patterns.rs
+++ b/crates/edge/tests/load_patterns.rs
@@ -159,6 +159,7 @@
         is_bound: false,
         named: None,
         is_home: &|_| true,
+        spread: None,
     };
     let first = first(&wish, &servers, Place::Region).expect("there are servers");
     act(&servers, &wish, &first)
--- /dev/null
+++ b/crates/edge/tests/spread.rs
@@ -0,0 +1,146 @@
+//! Where the home of servers puts objects.
+
+mod support;
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use heatherknot_edge::spread::Spread;
+use heatherknot_edge::upstream::Upstream;
+use heatherknot_test_support::property::check;
+use heatherknot_types::hash;
+use heatherknot_types::prelude::*;
+use support::{TestClock, upstream};
+
+fn servers(count: usize) -> Vec<Rc<Upstream>> {
+    let clock = TestClock::default().clock();
+    let names = (0..count).map(|n| format!("s-{n:02}"));
+    names.map(|name| upstream(&name, "south", &clock)).collect()
+}
+
+fn ranked_first(object: u64, servers: &[Rc<Upstream>]) -> &Rc<Upstream> {
+    let place = |u: &&Rc<Upstream>| hash::rendezvous(&[&object.to_le_bytes()], u.id.as_str());
+    servers.iter().max_by_key(place).expect("there are servers")
+}
+
+fn put(spread: &Spread, object: u64, servers: &[Rc<Upstream>], now: u64) -> UpstreamName {
+    let own: Vec<&Rc<Upstream>> = servers.iter().collect();
+    let first = ranked_first(object, servers);
+    spread
+        .server_of(object, first, &own, Millis(now))
+        .id
+        .clone()
+}
+
+fn objects_each(at: &HashMap<u64, UpstreamName>, servers: &[Rc<Upstream>]) -> Vec<usize> {
+    let of = |u: &Rc<Upstream>| at.values().filter(|server| **server == u.id).count();
+    servers.iter().map(of).collect()
+}
+
+/// Pattern: nearly as many objects as the servers of a small region keep together.
+///
+/// Story: an account's 217 objects are served by the twelve servers of its only region, of which
+/// each keeps 21. By rank two or three of them get more than that, do most of their work afresh and
+/// turn every second request away, while the others have room.
+///
+/// Grounds: 18 objects for each server in the mean; three homes, with four servers each.
+#[test]
+fn no_server_gets_more_objects_than_it_keeps() {
+    let all = servers(12);
+    let homes: Vec<(Spread, &[Rc<Upstream>])> =
+        all.chunks(4).map(|own| (Spread::default(), own)).collect();
+    let mut by_rank = HashMap::new();
+    let mut by_home = HashMap::new();
+
+    for object in 0..217 {
+        let first = ranked_first(object, &all);
+        by_rank.insert(object, first.id.clone());
+        let of = |(_, own): &&(Spread, &[Rc<Upstream>])| own.iter().any(|u| u.id == first.id);
+        let (spread, own) = homes.iter().find(of).expect("each server has a home");
+        let own: Vec<&Rc<Upstream>> = own.iter().collect();
+        by_home.insert(
+            object,
+            spread
+                .server_of(object, first, &own, Millis(object))
+                .id
+                .clone(),
+        );
+    }
+
+    let most = |at: &HashMap<u64, UpstreamName>| objects_each(at, &all).into_iter().max();
+    assert!(
+        most(&by_rank) > Some(21),
+        "{:?}",
+        objects_each(&by_rank, &all)
+    );
+    assert!(
+        most(&by_home) <= Some(21),
+        "{:?}",
+        objects_each(&by_home, &all)
+    );
+}
+
+/// Story: an object that moved to another server each time the counts change would be worked on
+/// afresh each time, at three times the work.
+#[test]
+fn an_object_stays_where_it_was_put() {
+    let servers = servers(6);
+    check().with_type::<Vec<u8>>().for_each(|asked| {
+        let spread = Spread::default();
+        let mut at = HashMap::new();
+        for (now, object) in asked.iter().enumerate() {
+            let object = u64::from(*object);
+            let server = put(&spread, object, &servers, now as u64 * 10);
+            let before = at.insert(object, server.clone());
+            assert!(before.is_none_or(|before| before == server));
+        }
+        let each = objects_each(&at, &servers);
+        let (least, most) = (each.iter().min(), each.iter().max());
+        assert!(most.unwrap_or(&0) <= &(least.unwrap_or(&0) + 2), "{each:?}");
+    });
+}
+
+/// Story: a server leaves. Its objects go to the others, evenly again, and no others move.
+#[test]
+fn objects_of_a_server_that_left_go_to_those_with_the_fewest() {
+    let servers = servers(5);
+    let spread = Spread::default();
+    let before: HashMap<u64, UpstreamName> = (0..100)
+        .map(|object| (object, put(&spread, object, &servers, 0)))
+        .collect();
+
+    let left = &servers[1..];
+    let after: HashMap<u64, UpstreamName> = (0..100)
+        .map(|object| (object, put(&spread, object, left, 100)))
+        .collect();
+
+    let stay = before
+        .iter()
+        .filter(|(_, server)| **server != servers[0].id);
+    assert!(
+        stay.clone()
+            .all(|(object, server)| after[object] == *server)
+    );
+    let each = objects_each(&after, left);
+    assert!(
+        each.iter().max() <= each.iter().min().map(|least| least + 2).as_ref(),
+        "{each:?}"
+    );
+}
+
+#[test]
+fn an_object_that_nobody_asks_for_makes_room() {
+    let servers = servers(2);
+    let spread = Spread::default();
+    for object in 0..40 {
+        put(&spread, object, &servers, 0);
+    }
+
+    let again = put(&spread, 1_000, &servers, 60_000);
+
+    assert_eq!(
+        again,
+        ranked_first(1_000, &servers).id,
+        "the counts began anew"
+    );
+}
