--- a/crates/edge/tests/quota.rs
+++ b/crates/edge/tests/quota.rs
@@ -232,21 +232,49 @@
         });
 }
 
+/// Gives the faults of one column of the table: none, a third of the VMs cut off, the leaders of the
+/// first domain cut off, all VMs killed.
+fn column(name: &str) -> Vec<(u64, Fault)> {
+    match name {
+        "cut" => vec![(9_000, Fault::Cut(each(3, 1))), (20_000, Fault::Heal)],
+        "leaders cut" => vec![(9_000, Fault::Cut(vec![0, 1])), (20_000, Fault::Heal)],
+        "killed" => vec![(13_000, Fault::Kill(all()))],
+        _ => Vec::new(),
+    }
+}
+
 /// Prints what each way to keep to a quota admits and refuses, and what it sends. It is run by
 /// hand: `cargo test --release -p heatherknot-edge --test quota -- --ignored --nocapture`.
 #[test]
 #[ignore = "a table, to be printed by hand"]
 fn print_the_ways() {
-    let ways = [Way::Unlimited, Way::EqualShares, Way::Totals, Way::Parts];
-    println!("limit,times,way,most in 5 s,allowed,refused of owed,words a VM and second");
+    let ways = [
+        Way::Unlimited,
+        Way::EqualShares,
+        Way::Totals,
+        Way::Lent,
+        Way::Parts,
+    ];
+    println!("limit,times,faults,way,most in 5 s,allowed,refused of owed,words a VM and second");
     for per_second in [625.0, 60.0, 16.0, 1.6] {
-        for times in [1.0, 2.0, 4.3, 9.0] {
+        for (times, faults) in [
+            (1.0, ""),
+            (2.0, ""),
+            (4.3, ""),
+            (9.0, ""),
+            (9.0, "cut"),
+            (9.0, "leaders cut"),
+            (9.0, "killed"),
+        ] {
             for way in ways {
-                let scenario = surge(per_second, times);
+                let scenario = Scenario {
+                    faults: column(faults),
+                    ..surge(per_second, times)
+                };
                 let played = play(&scenario, way);
                 let words = played.words as f64 / 87.0 / (scenario.end as f64 / 1_000.0);
                 println!(
-                    "{per_second},{times},{way:?},{},{},{:.3},{words:.2}",
+                    "{per_second},{times},{faults},{way:?},{},{},{:.3},{words:.2}",
                     played.most_within(WINDOW),
                     bound(scenario.limit),
                     refused_of_owed(&played),
--- a/crates/edge/tests/support/quota_model.rs
+++ b/crates/edge/tests/support/quota_model.rs
@@ -35,6 +35,8 @@
     EqualShares,
     /// Each VM by the total that it knows: all while there is room, else nothing.
     Totals,
+    /// Each VM by the part that one VM of the whole fleet lends it.
+    Lent,
     /// Each VM by the part that the totals leave room for.
     Parts,
 }
@@ -281,7 +283,7 @@
             }
         }
         let heard = self.vms[at].pool.heard_here(Millis(now)) + u32::from(is_collector);
-        if heard == 0 {
+        if heard == 0 || self.way == Way::Lent {
             return;
         }
         let collected = self.vms[at].pool.take_collected();
@@ -296,7 +298,7 @@
 
     fn parts(&mut self, at: usize, vms: usize, now: u64) -> HashMap<AccountName, f64> {
         let pool = &mut self.vms[at].pool;
-        if self.way == Way::Parts {
+        if matches!(self.way, Way::Parts | Way::Lent) {
             return pool.parts(&self.accounts, vms, Millis(now));
         }
         let standings = pool.standings(vms, Millis(now)).into_iter();
@@ -305,7 +307,8 @@
     }
 
     fn leaders_to_tell(&self, at: usize, domain: usize) -> Vec<usize> {
-        let there = (0..self.vms.len()).filter(|vm| self.vms[*vm].domain == domain);
+        let is_there = |vm: &usize| self.way == Way::Lent || self.vms[*vm].domain == domain;
+        let there = (0..self.vms.len()).filter(is_there);
         let leaders: Vec<usize> = there.take(2).collect();
         let tellers = &self.vms[at].tellers;
         let answers = |vm: &usize| *vm == at || !tellers.get(vm).is_some_and(Teller::is_avoided);
