Say nothing of what may be admitted before the VMs are known; wake seldom without limits

Cause, found by reading: a head that has just started and does not know how many VMs share the limits told its domain by a pool of no VMs that nothing may be admitted; and a daemon of a deployment without limits woke 16 times a second, as it is never told anything.

Change: such an answer holds no parts; without limits the loop wakes three times a second. The state of a daemon's quota is a module of its own beside the tasks that carry words. Test: a_head_that_does_not_know_the_vms_says_nothing_of_what_may_be_admitted.

--- a/crates/edge/src/accounts.rs
+++ b/crates/edge/src/accounts.rs
@@ -104,6 +104,7 @@
     /// Whether there may be accounts whose keys can't be read.
     hides_keys: bool,
     bound: Vec<BoundShare>,
+    has_limits: bool,
 }
 
 impl Accounts {
@@ -128,6 +129,8 @@
             }
         }
         accounts.bound = bound_shares(&accounts.by_name);
+        let has_limits = accounts.all().any(|account| account.limit.is_some());
+        accounts.has_limits = has_limits;
         (accounts, remarks)
     }
 
@@ -183,6 +186,11 @@
         self.by_name.get(name)
     }
 
+    /// Says whether any account has a limit.
+    pub fn has_limits(&self) -> bool {
+        self.has_limits
+    }
+
     /// Gives which parts of all requests only some regions may run.
     pub fn bound(&self) -> &[BoundShare] {
         &self.bound
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -20,7 +20,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::pace::Pace;
 use crate::presence::{self, VmEntries, VmEntry};
-use crate::quota::exchange::Quota;
+use crate::quota::state::Quota;
 use crate::reach::RouteReach;
 use crate::relay::Relay;
 use crate::room::RegionParts;
--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -5,13 +5,14 @@
 //! of a second late, and works out which part of an account's requests may be admitted now
 //! ([`pool`]); the answer to a VM's word names the accounts of which that is not all. A VM admits
 //! by that part, and by its own small share of the limit while it hears nothing ([`meter`]).
-//! [`exchange`] carries the words; [`report`] is what operators see. Nothing of this calls the store.
+//! [`state`] joins them in one daemon, [`exchange`] carries the words; [`report`] is what operators see. Nothing of this calls the store.
 
 pub mod counts;
 pub mod exchange;
 pub mod meter;
 pub mod pool;
 pub mod report;
+pub mod state;
 
 use heatherknot_types::prelude::*;
 
--- a/crates/edge/src/quota/report.rs
+++ b/crates/edge/src/quota/report.rs
@@ -3,9 +3,9 @@
 use heatherknot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::exchange::Quota;
 use super::meter::Meter;
 use super::pool::Standing;
+use super::state::Quota;
 use crate::accounts::{Account, Accounts};
 
 /// What one VM knows of one client account. It holds no keys.
--- a/crates/edge/tests/quota.rs
+++ b/crates/edge/tests/quota.rs
@@ -2,9 +2,17 @@
 
 mod support;
 
-use heatherknot_edge::accounts::RateLimit;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use heatherknot_edge::accounts::{Accounts, RateLimit};
+use heatherknot_edge::quota::counts::Word;
+use heatherknot_edge::quota::state::Quota;
 use heatherknot_test_support::property::check;
-use support::quota_model::{Fault, Played, Scenario, Way, play};
+use heatherknot_types::prelude::*;
+use support::quota_model::{Fault, Played, Scenario, Way, account_entry, play};
+use support::{TestClock, world_with};
 
 /// The window, in milliseconds, over which a deployment judges a limit, and how far above it the
 /// requests of one may lie.
@@ -222,6 +230,28 @@
     }
 }
 
+/// Story: the head of a domain has just started and does not know how many VMs there are. It told its
+/// domain that nothing may be admitted, and callers within their limits were refused until it
+/// knew.
+#[test]
+fn a_head_that_does_not_know_the_vms_says_nothing_of_what_may_be_admitted() {
+    let clock = TestClock::default();
+    let accounts = Accounts::new(vec![account_entry("north", limit(25.0))], Vec::new()).0;
+    let world = Rc::new(RefCell::new(world_with(accounts, &clock.clock())));
+    let quota = Quota::new(clock.timer(), world);
+    let word = |number| Word {
+        number,
+        ..Word::default()
+    };
+
+    let before = quota.take(&"vm-1".into(), Incarnation(1), &word(1));
+    quota.note_vms(2);
+    let after = quota.take(&"vm-1".into(), Incarnation(1), &word(2));
+
+    assert_eq!(before.parts, None);
+    assert_eq!(after.parts, Some(BTreeMap::new()));
+}
+
 /// What a schedule by chance does at one time.
 fn drawn_fault(kind: u8, which: u8) -> Fault {
     let by = usize::from(which % 5) + 2;
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use heatherknot_edge::accounts::Accounts;
 use heatherknot_edge::catalog::{Catalog, CatalogParts, Route, ServiceSpec, Target};
 use heatherknot_edge::dialect::{Dialect, HeaderNames, KeyNames, LookupAnswer, LookupQuery};
 use heatherknot_edge::mirror::{Change, Known};
@@ -202,3 +203,26 @@
     let regions = BTreeMap::from([("north-1".into(), "north".into())]);
     World::new(dialect(), regions, PoolConfig::default(), clock.clone())
 }
+
+/// Makes a world whose configuration has these client accounts.
+pub fn world_with(accounts: Accounts, clock: &Clock) -> World {
+    let read = move |_: &str, _: &Bytes| {
+        Ok(Catalog::new(CatalogParts {
+            version: 1,
+            accounts: Some(accounts.clone()),
+            ..CatalogParts::default()
+        }))
+    };
+    let dialect = Dialect {
+        catalog: Rc::new(read),
+        ..dialect()
+    };
+    let mut world = World::new(
+        dialect,
+        BTreeMap::new(),
+        PoolConfig::default(),
+        clock.clone(),
+    );
+    world.take(&[put("catalog", "1", 1)], true);
+    world
+}
--- a/crates/edge/tests/support/quota_model.rs
+++ b/crates/edge/tests/support/quota_model.rs
@@ -144,6 +144,20 @@
     played: Played,
 }
 
+/// Makes an account with a limit.
+pub fn account_entry(name: &str, limit: RateLimit) -> AccountEntry {
+    let account = Account {
+        name: name.into(),
+        priority: None,
+        limit: Some(limit),
+        home_regions: Vec::new(),
+    };
+    AccountEntry {
+        account,
+        keys: Vec::new(),
+    }
+}
+
 /// Plays a scenario.
 pub fn play(scenario: &Scenario, way: Way) -> Played {
     let mut model = Model::new(scenario, way);
@@ -174,16 +188,7 @@
 
 impl<'a> Model<'a> {
     fn new(scenario: &'a Scenario, way: Way) -> Self {
-        let account = Account {
-            name: ACCOUNT.into(),
-            priority: None,
-            limit: Some(scenario.limit),
-            home_regions: Vec::new(),
-        };
-        let entry = AccountEntry {
-            account,
-            keys: Vec::new(),
-        };
+        let entry = account_entry(ACCOUNT, scenario.limit);
         let mut rng = fastrand::Rng::with_seed(scenario.seed);
         let domains = scenario.domains.iter().enumerate();
         let domains = domains.flat_map(|(domain, vms)| std::iter::repeat_n(domain, *vms));
