Call usage reports, totals and reporters by those names

The quota's modules said word, pool and teller; the field says usage report, and a pool is one of connections here. Renamed with their files; the status of accounts is no report any more.

--- a/crates/cli/src/ops/accounts.rs
+++ b/crates/cli/src/ops/accounts.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use heatherknot_edge::daemon::ACCOUNTS_PATH;
-use heatherknot_edge::quota::report::AccountReport;
+use heatherknot_edge::quota::status::AccountStatus;
 use heatherknot_http::{Body, Pool, PoolConfig, RequestHead, Response, SendOptions};
 use heatherknot_types::prelude::*;
 use http::{Method, StatusCode, Uri};
@@ -26,7 +26,7 @@
 struct Row {
     daemon: SocketAddr,
     #[serde(flatten)]
-    report: AccountReport,
+    report: AccountStatus,
 }
 
 /// Shows what the daemons at the given metrics addresses know of client accounts.
@@ -75,7 +75,7 @@
     (rows, failed)
 }
 
-async fn ask(address: SocketAddr, timeout: Millis) -> Result<Vec<AccountReport>, CliError> {
+async fn ask(address: SocketAddr, timeout: Millis) -> Result<Vec<AccountStatus>, CliError> {
     let clock = Clock::system();
     let options = SendOptions {
         deadline: Some(clock.now() + timeout),
@@ -91,7 +91,7 @@
     read(address, response).await
 }
 
-async fn read(peer: SocketAddr, response: Response) -> Result<Vec<AccountReport>, CliError> {
+async fn read(peer: SocketAddr, response: Response) -> Result<Vec<AccountStatus>, CliError> {
     if response.status != StatusCode::OK {
         let error = response.status.to_string();
         return RefusedSnafu { peer, error }.fail();
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -25,7 +25,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
-use crate::quota::{exchange, report};
+use crate::quota::{exchange, status};
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
 use crate::upstream::{self, IDLE_KEPT};
@@ -460,8 +460,8 @@
 fn accounts_page(cx: &EdgeContext) -> Response {
     let catalog = cx.world.borrow().catalog().cloned();
     let accounts = catalog.as_ref().and_then(|catalog| catalog.accounts());
-    let reports = accounts.map(|accounts| report::report(&cx.quota, accounts));
-    match serde_json::to_vec(&reports.unwrap_or_default()) {
+    let statuses = accounts.map(|accounts| status::statuses(&cx.quota, accounts));
+    match serde_json::to_vec(&statuses.unwrap_or_default()) {
         Ok(body) => Response::json(StatusCode::OK, body),
         Err(error) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
     }
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -8,29 +8,29 @@
 use heatherknot_types::prelude::*;
 use log::debug;
 
-use super::counts::{Counts, Word};
 use super::state::{Answer, Quota};
+use super::usage::{Counts, UsageReport};
 use crate::context::EdgeContext;
 use crate::presence;
 use crate::switches::Mechanism;
 
 /// The method that takes counts in.
 const COUNTS: &str = "e.counts";
-/// The time between two words to a peer while no account surges. What is admitted meanwhile of an
-/// account that begins to surge is beyond its limit; three words a second from each of 570 VMs
+/// The time between two reports to a peer while no account surges. What is admitted meanwhile of an
+/// account that begins to surge is beyond its limit; three reports a second from each of 570 VMs
 /// take 0.5 % of a core of a domain's head.
 const PERIOD: Millis = Millis(300);
-/// The time between two words while one does.
+/// The time between two reports while one does.
 const LEAST_PERIOD: Millis = Millis(60);
-/// The time allowed for an answer within a domain, and from another one. Between regions a word
+/// The time allowed for an answer within a domain, and from another one. Between regions a report
 /// takes a tenth of a second to and fro.
 const LIMIT_HERE: Millis = Millis(400);
 const LIMIT_AWAY: Millis = Millis(700);
 /// Registers the method that takes counts in.
 pub fn register(methods: &mut MethodTable, quota: &Rc<Quota>) {
     let quota = Rc::clone(quota);
-    methods.register(COUNTS, move |from, word: Word| {
-        let answer = quota.take(&from.vm, from.incarnation, &word);
+    methods.register(COUNTS, move |from, report: UsageReport| {
+        let answer = quota.take(&from.vm, from.incarnation, &report);
         async move { Ok(answer) }
     });
 }
@@ -68,7 +68,7 @@
         tell_other_heads(cx, heard);
     }
     let there = presence::alive(cx);
-    quota.retain_tellers(|name| there.iter().any(|vm| vm.name == *name));
+    quota.retain_reporters(|name| there.iter().any(|vm| vm.name == *name));
 }
 
 /// Gives the leaders of a domain up to the first one that answers, that one included. Those
@@ -113,45 +113,46 @@
 
 fn tell(cx: &Rc<EdgeContext>, to: &VmName, counts: &Counts, vms: Option<u32>) {
     let now = cx.now();
-    let word = cx.quota.with_teller(to, |teller| {
+    let report = cx.quota.with_reporter(to, |reporter| {
         for (account, count) in counts {
-            teller.add(account, *count, now);
+            reporter.add(account, *count, now);
         }
-        teller.begin(vms, now)
+        reporter.begin(vms, now)
     });
-    if let Some(word) = word {
-        monoio::spawn(send(Rc::clone(cx), to.clone(), word));
+    if let Some(report) = report {
+        monoio::spawn(send(Rc::clone(cx), to.clone(), report));
     }
 }
 
-async fn send(cx: Rc<EdgeContext>, to: VmName, word: Word) {
-    let answer = call(&cx, &to, &word).await;
+async fn send(cx: Rc<EdgeContext>, to: VmName, report: UsageReport) {
+    let answer = call(&cx, &to, &report).await;
     let now = cx.now();
     match answer {
         Ok(answer) => {
-            cx.quota.with_teller(&to, |teller| teller.answered(now));
+            cx.quota
+                .with_reporter(&to, |reporter| reporter.answered(now));
             if let Some(parts) = answer.parts {
                 cx.quota.take_parts(parts);
             }
         }
         Err(error) => {
             debug!(vm:% = to, error:% = error; "counts of accounts could not be told");
-            let untold = cx.quota.with_teller(&to, |teller| teller.failed(now));
-            if word.vms.is_none() {
+            let untold = cx.quota.with_reporter(&to, |reporter| reporter.failed(now));
+            if report.vms.is_none() {
                 cx.quota.put_back(untold);
             }
         }
     }
 }
 
-async fn call(cx: &EdgeContext, to: &VmName, word: &Word) -> Result<Answer, PeerError> {
-    let limit = match word.vms {
+async fn call(cx: &EdgeContext, to: &VmName, report: &UsageReport) -> Result<Answer, PeerError> {
+    let limit = match report.vms {
         None => LIMIT_HERE,
         Some(_) => LIMIT_AWAY,
     };
     let opts = CallOptions::idempotent(limit);
     match presence::peer_address(cx, to) {
-        Some(at) => cx.net.call_address(at, COUNTS, word, opts).await,
-        None => cx.net.call_with(to, COUNTS, word, opts).await,
+        Some(at) => cx.net.call_address(at, COUNTS, report, opts).await,
+        None => cx.net.call_with(to, COUNTS, report, opts).await,
     }
 }
--- a/crates/edge/src/quota/meter.rs
+++ b/crates/edge/src/quota/meter.rs
@@ -5,29 +5,29 @@
 use heatherknot_types::prelude::*;
 
 use super::SILENT_AFTER;
-use super::counts::{Count, Counts, add};
+use super::usage::{Count, Counts, add};
 use crate::accounts::RateLimit;
 
 /// The requests of one account that a VM has not told yet from which on it tells them at once.
-/// With three words a second, a VM that gets this many in less sees a surge: what it admits until
+/// With three reports a second, a VM that gets this many in less sees a surge: what it admits until
 /// the others know goes beyond the limit.
 const SURGE: u32 = 4;
-/// A surge as a multiple of what the VM would get between two words if the account used its limit
+/// A surge as a multiple of what the VM would get between two reports if the account used its limit
 /// evenly over all VMs. Twice is far above what chance does to such a count.
 const SURGE_OF_SHARE: f64 = 2.0;
-/// The time between two words, for the above.
+/// The time between two reports, for the above.
 const BETWEEN_WORDS: f64 = 0.3;
 /// The longest time after which a caller whose account is over its limit is asked to come back.
 /// Further off, what the part is by then is not known.
 const LONGEST_RETURN: Millis = Millis(5_000);
-/// What a VM may admit of an account, on the word of its head, before that word is renewed: this
+/// What a VM may admit of an account, on the last answer of its head: this
 /// many requests, and its equal share of the limit for this many seconds. Where heads are lost
 /// just as an account surges, the VMs together admit no more than two seconds of the limit until
-/// they notice. It is twice as much as chance brings between two words.
+/// they notice. It is twice as much as chance brings between two reports.
 const LINE: u32 = 2;
 const LINE_OF_SHARE: f64 = 1.6;
 /// How much a VM may have taken beyond its own share, in seconds of it, while it went by its
-/// head's word, that it then makes up for when it hears nothing more.
+/// head's answer, that it then makes up for when it hears nothing more.
 const LONGEST_DEBT: f64 = 1.0;
 /// When a caller may come back to a VM that hears nothing, in seconds. One that has started hears
 /// within half a second what may be admitted.
@@ -242,8 +242,8 @@
         }
     }
 
-    /// Says whether a request may run: by the head's word, or by this VM's own share while there
-    /// is none, or where more was admitted on that word than it can stand for.
+    /// Says whether a request may run: by the head's answer, or by this VM's own share while there
+    /// is none, or where more was admitted on that answer than it can stand for.
     ///
     /// A VM that is cut off must not stop serving, and the sum over all VMs must keep to the limit
     /// whoever hears whom. Those that hear each other set the shares of the others aside.
--- a/crates/edge/src/quota/state.rs
+++ b/crates/edge/src/quota/state.rs
@@ -1,4 +1,4 @@
-//! What one VM knows and admits of all accounts, between its requests and the words of its peers.
+//! What one VM knows and admits of all accounts, between its requests and the reports of its peers.
 
 use std::cell::{Ref, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -8,9 +8,9 @@
 use heatherknot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::counts::{Counts, Teller, Word};
 use super::meter::{Meter, Verdict};
-use super::pool::{Pool, Standing};
+use super::totals::{Standing, Totals};
+use super::usage::{Counts, Reporter, UsageReport};
 use crate::accounts::{Account, Accounts};
 use crate::catalog::Catalog;
 use crate::world::World;
@@ -27,8 +27,8 @@
     timer: Timer,
     world: Rc<RefCell<World>>,
     meter: RefCell<Meter>,
-    pool: RefCell<Pool>,
-    tellers: RefCell<HashMap<VmName, Teller>>,
+    totals: RefCell<Totals>,
+    reporters: RefCell<HashMap<VmName, Reporter>>,
     seen: RefCell<MostSeen>,
     parts: RefCell<KeptParts>,
     /// Fires when an account surges.
@@ -42,7 +42,7 @@
     parts: BTreeMap<AccountName, f64>,
 }
 
-/// The answer to a word of counts.
+/// The answer to a usage report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
     /// The accounts of whose requests not all may be admitted, with the part that may; nothing
@@ -76,13 +76,13 @@
 impl Quota {
     /// Makes the part of a VM that has just started.
     pub fn new(timer: Timer, world: Rc<RefCell<World>>) -> Self {
-        let pool = Pool::new(timer.now());
+        let totals = Totals::new(timer.now());
         Self {
             timer,
             world,
             meter: RefCell::default(),
-            pool: RefCell::new(pool),
-            tellers: RefCell::default(),
+            totals: RefCell::new(totals),
+            reporters: RefCell::default(),
             seen: RefCell::default(),
             parts: RefCell::default(),
             surge: RefCell::default(),
@@ -138,7 +138,7 @@
     /// Gives what is known of each account of which this VM collects any counts.
     pub fn standings(&self) -> HashMap<AccountName, Standing> {
         let vms = self.seen.borrow().most();
-        self.pool.borrow_mut().standings(vms, self.timer.now())
+        self.totals.borrow_mut().standings(vms, self.timer.now())
     }
 
     /// Says whether any account has a limit.
@@ -160,13 +160,13 @@
     }
 
     pub(super) fn is_avoided(&self, vm: &VmName) -> bool {
-        let tellers = self.tellers.borrow();
-        tellers.get(vm).is_some_and(Teller::is_avoided)
+        let reporters = self.reporters.borrow();
+        reporters.get(vm).is_some_and(Reporter::is_avoided)
     }
 
-    pub(super) fn with_teller<T>(&self, vm: &VmName, act: impl FnOnce(&mut Teller) -> T) -> T {
-        let mut tellers = self.tellers.borrow_mut();
-        act(tellers.entry(vm.clone()).or_default())
+    pub(super) fn with_reporter<T>(&self, vm: &VmName, act: impl FnOnce(&mut Reporter) -> T) -> T {
+        let mut reporters = self.reporters.borrow_mut();
+        act(reporters.entry(vm.clone()).or_default())
     }
 
     /// Gives an event that happens when an account surges from now on.
@@ -195,45 +195,45 @@
     /// Takes in what this VM counted, as the one that collects the counts of its domain.
     pub(super) fn collect_own(&self, counts: &Counts, accounts: &Accounts) {
         let now = self.now();
-        self.pool.borrow_mut().take_own(counts, accounts, now);
+        self.totals.borrow_mut().take_own(counts, accounts, now);
         let parts = self.parts(accounts);
         self.take_parts(parts);
     }
 
     /// Gives the VMs that told this one their own counts lately.
     pub(super) fn heard_here(&self) -> u32 {
-        self.pool.borrow().heard_here(self.now())
+        self.totals.borrow().heard_here(self.now())
     }
 
     /// Takes what VMs of this domain told since it was taken last.
     pub(super) fn take_collected(&self) -> Counts {
-        self.pool.borrow_mut().take_collected()
+        self.totals.borrow_mut().take_collected()
     }
 
     /// Forgets what was to be told to VMs that are gone.
-    pub(super) fn retain_tellers(&self, is_there: impl Fn(&VmName) -> bool) {
-        let mut tellers = self.tellers.borrow_mut();
-        tellers.retain(|vm, _| is_there(vm));
+    pub(super) fn retain_reporters(&self, is_there: impl Fn(&VmName) -> bool) {
+        let mut reporters = self.reporters.borrow_mut();
+        reporters.retain(|vm, _| is_there(vm));
     }
 
     /// Takes in what a peer counted.
     ///
     /// A VM that has just started does not know how many share the limits. It would take itself
     /// for all or for none of them, and its whole domain would admit anything or nothing by that.
-    pub fn take(&self, from: &VmName, incarnation: Incarnation, word: &Word) -> Answer {
+    pub fn take(&self, from: &VmName, incarnation: Incarnation, report: &UsageReport) -> Answer {
         let Some(catalog) = self.catalog() else {
             return Answer::default();
         };
         let Some(accounts) = catalog.accounts() else {
             return Answer::default();
         };
-        let mut pool = self.pool.borrow_mut();
-        pool.take(from, incarnation, word, accounts, self.now());
-        if pool.has_surge() {
+        let mut totals = self.totals.borrow_mut();
+        totals.take(from, incarnation, report, accounts, self.now());
+        if totals.has_surge() {
             self.surge.borrow().fire();
         }
-        drop(pool);
-        let is_asked = word.vms.is_none() && self.knows_vms();
+        drop(totals);
+        let is_asked = report.vms.is_none() && self.knows_vms();
         Answer {
             parts: is_asked.then(|| self.parts(accounts)),
         }
@@ -244,7 +244,7 @@
         let mut kept = self.parts.borrow_mut();
         if now.since(kept.at) >= PARTS_KEPT || kept.at == Millis(0) {
             let vms = self.seen.borrow().most();
-            let parts = self.pool.borrow_mut().parts(accounts, vms, now);
+            let parts = self.totals.borrow_mut().parts(accounts, vms, now);
             kept.parts = parts
                 .into_iter()
                 .map(|(name, part)| (name, rounded(part)))
--- a/crates/edge/src/quota/report.rs
+++ b/crates/edge/src/quota/status.rs
@@ -4,13 +4,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::meter::Meter;
-use super::pool::Standing;
 use super::state::Quota;
+use super::totals::Standing;
 use crate::accounts::{Account, Accounts};
 
 /// What one VM knows of one client account. It holds no keys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct AccountReport {
+pub struct AccountStatus {
     /// The account.
     pub account: AccountName,
     /// The requests a second that all VMs together may admit; nothing for any number.
@@ -31,27 +31,27 @@
     pub age_ms: Option<Millis>,
 }
 
-/// Reports on every account, by name.
-pub fn report(quota: &Quota, accounts: &Accounts) -> Vec<AccountReport> {
+/// Gives the status of every account, by name.
+pub fn statuses(quota: &Quota, accounts: &Accounts) -> Vec<AccountStatus> {
     let standings = quota.standings();
     let meter = quota.meter();
     let now = quota.now();
     let of = |account: &Account| {
         let standing = standings.get(&account.name).copied();
-        report_one(account, standing, &meter, now)
+        status_of(account, standing, &meter, now)
     };
-    let mut reports: Vec<AccountReport> = accounts.all().map(|account| of(account)).collect();
-    reports.sort_by(|a, b| a.account.cmp(&b.account));
-    reports
+    let mut all: Vec<AccountStatus> = accounts.all().map(|account| of(account)).collect();
+    all.sort_by(|a, b| a.account.cmp(&b.account));
+    all
 }
 
-fn report_one(
+fn status_of(
     account: &Account,
     standing: Option<Standing>,
     meter: &Meter,
     now: Millis,
-) -> AccountReport {
-    AccountReport {
+) -> AccountStatus {
+    AccountStatus {
         account: account.name.clone(),
         per_second: account.limit.map(|limit| limit.per_second),
         burst: account.limit.map(|limit| limit.burst),
--- a/crates/edge/src/quota/pool.rs
+++ b/crates/edge/src/quota/totals.rs
@@ -5,12 +5,12 @@
 use heatherknot_types::prelude::*;
 
 use super::SILENT_AFTER;
-use super::counts::{Counts, Word, add};
+use super::usage::{Counts, UsageReport, add};
 use crate::accounts::{Accounts, RateLimit};
 use crate::window::Window;
 
 /// The time over which what is left of a burst is given out, or what was admitted too much is
-/// taken back. It is over twice as long as a word takes from one VM to another and back: with
+/// taken back. It is over twice as long as a report takes from one VM to another and back: with
 /// less, what is admitted would swing about the limit.
 const SETTLE: f64 = 1.0;
 /// The time, in seconds, for which VMs go on admitting by the parts before, until what they admitted
@@ -24,7 +24,7 @@
 /// Requests at the limit's rate that the span is to hold. Of fewer, chance alone makes demand look
 /// several times as high as it is.
 const IN_A_SPAN: f64 = 10.0;
-/// The least time over which demand is measured in a pool that has just begun to hear of any.
+/// The least time over which demand is measured in totals that have just begun to hear of any.
 const LEAST_HEARD: f64 = 0.2;
 /// How long what is admitted too much counts. It bounds the pause after a surge.
 const LONGEST_DEBT: f64 = 5.0;
@@ -35,12 +35,12 @@
 
 /// What is known of all VMs' requests.
 #[derive(Debug)]
-pub struct Pool {
+pub struct Totals {
     /// When it began to hear of requests, without a pause since.
     started: Millis,
     /// When it heard of any last.
     heard: Millis,
-    totals: HashMap<AccountName, Total>,
+    totals: HashMap<AccountName, AccountTotal>,
     senders: HashMap<VmName, Sender>,
     /// The part of all VMs that are not silent.
     reached: f64,
@@ -51,7 +51,7 @@
 
 /// One account's requests at all VMs.
 #[derive(Debug)]
-struct Total {
+struct AccountTotal {
     limit: RateLimit,
     /// What may be admitted at once; below zero where too much was.
     level: f64,
@@ -73,7 +73,7 @@
     vms: Option<u32>,
 }
 
-/// What a pool knows of an account.
+/// What is known of an account.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Standing {
     /// Requests that callers send, a second.
@@ -84,8 +84,8 @@
     pub part: f64,
 }
 
-impl Pool {
-    /// Makes a pool that knows nothing of what was admitted before `now`, so that nothing is left of
+impl Totals {
+    /// Makes totals that know nothing of what was admitted before `now`, so that nothing is left of
     /// any burst.
     pub fn new(now: Millis) -> Self {
         Self {
@@ -99,12 +99,12 @@
         }
     }
 
-    /// Takes in a peer's word. One that came before is passed over.
+    /// Takes in a peer's report. One that came before is passed over.
     pub fn take(
         &mut self,
         vm: &VmName,
         incarnation: Incarnation,
-        word: &Word,
+        report: &UsageReport,
         accounts: &Accounts,
         now: Millis,
     ) {
@@ -119,14 +119,14 @@
             sender.number = 0;
         }
         sender.heard = now;
-        sender.vms = word.vms;
-        if word.number <= sender.number {
+        sender.vms = report.vms;
+        if report.number <= sender.number {
             return;
         }
-        sender.number = word.number;
-        self.count(&word.counts, accounts, now);
-        if word.vms.is_none() {
-            self.collect(&word.counts, accounts);
+        sender.number = report.number;
+        self.count(&report.counts, accounts, now);
+        if report.vms.is_none() {
+            self.collect(&report.counts, accounts);
         }
     }
 
@@ -157,7 +157,7 @@
             };
             let started = self.started;
             let total = self.totals.entry(name.clone());
-            let total = total.or_insert_with(|| Total::new(limit, started));
+            let total = total.or_insert_with(|| AccountTotal::new(limit, started));
             total.fill(limit, self.reached, now);
             total.level -= f64::from(count.admitted);
             total.asked.add(now, f64::from(count.asked));
@@ -243,7 +243,7 @@
                 .and_then(|account| account.limit);
             limit.is_some_and(|limit| {
                 total.fill(limit, reached, now);
-                // Full and not asked for: as it would be made anew, once the pool is old enough.
+                // Full and not asked for: as it would be made anew, once the totals are old enough.
                 total.level < limit.burst * reached || total.asked.total(now) > 0.0
             })
         });
@@ -252,7 +252,7 @@
     }
 }
 
-impl Total {
+impl AccountTotal {
     fn new(limit: RateLimit, started: Millis) -> Self {
         let span = Millis((IN_A_SPAN / limit.per_second * 1000.0) as u64);
         let span = span.clamp(SHORTEST_SPAN, LONGEST_SPAN);
--- a/crates/edge/src/quota/counts.rs
+++ b/crates/edge/src/quota/usage.rs
@@ -8,9 +8,9 @@
 /// How long a count waits for a peer that can't be reached. By then the peer takes the VMs behind
 /// it for silent and has set their share aside, so the count would be taken twice.
 const FORGOTTEN_AFTER: Millis = Millis(1_500);
-/// The words in a row that are not answered from which on a peer is not relied on.
+/// The reports in a row that are not answered from which on a peer is not relied on.
 const AVOIDED_FROM: u32 = 2;
-/// How long a peer that is not relied on is left alone between two words.
+/// How long a peer that is not relied on is left alone between two reports.
 const AVOID_FOR: Millis = Millis(1_000);
 
 /// Requests of one account.
@@ -34,13 +34,13 @@
     count.admitted = count.admitted.saturating_add(more.admitted);
 }
 
-/// A word of counts to a peer.
+/// A report of usage to a peer.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
-    /// Its number; it grows with each word to this peer.
+pub struct UsageReport {
+    /// Its number; it grows with each report to this peer.
     #[serde(rename = "n")]
     pub number: u64,
-    /// What was counted since the word before it.
+    /// What was counted since the report before it.
     #[serde(rename = "c", default, skip_serializing_if = "Counts::is_empty")]
     pub counts: Counts,
     /// The VMs whose counts these are, where a VM tells those of others.
@@ -50,15 +50,15 @@
 
 /// What is told to one peer, and whether it answers.
 ///
-/// A word whose answer was lost may have arrived. It goes out again under the same number, and
+/// A report whose answer was lost may have arrived. It goes out again under the same number, and
 /// the peer passes it over if it has it: counted twice, it would refuse requests that the account
 /// may send.
 #[derive(Debug, Default)]
-pub struct Teller {
+pub struct Reporter {
     number: u64,
-    unconfirmed: Option<Word>,
+    unconfirmed: Option<UsageReport>,
     untold: Counts,
-    /// When the last word arrived, or the first count came in.
+    /// When the last report arrived, or the first count came in.
     since: Millis,
     is_under_way: bool,
     failures: u32,
@@ -66,7 +66,7 @@
     again: Millis,
 }
 
-impl Teller {
+impl Reporter {
     /// Takes in what was counted.
     pub fn add(&mut self, account: &AccountName, more: Count, now: Millis) {
         if self.untold.is_empty() && self.unconfirmed.is_none() {
@@ -76,14 +76,14 @@
     }
 
     /// Says whether the peer has not answered twice in a row, and is not relied on until it does.
-    /// One word is lost where a connection breaks; the next one goes over a new one.
+    /// One report is lost where a connection breaks; the next one goes over a new one.
     pub fn is_avoided(&self) -> bool {
         self.failures >= AVOIDED_FROM
     }
 
-    /// Begins the next word, which tells the counts of `vms` where they are those of other VMs.
+    /// Begins the next report, which tells the counts of `vms` where they are those of other VMs.
     /// Gives nothing while one is under way, or where it is too early to ask the peer again.
-    pub fn begin(&mut self, vms: Option<u32>, now: Millis) -> Option<Word> {
+    pub fn begin(&mut self, vms: Option<u32>, now: Millis) -> Option<UsageReport> {
         if self.is_under_way || (self.is_avoided() && now < self.again) {
             return None;
         }
@@ -92,19 +92,19 @@
             self.take_all();
             self.since = now;
         }
-        let word = self.unconfirmed.get_or_insert_with(|| {
+        let report = self.unconfirmed.get_or_insert_with(|| {
             self.number += 1;
-            Word {
+            UsageReport {
                 number: self.number,
                 counts: std::mem::take(&mut self.untold),
                 vms,
             }
         });
-        word.vms = vms;
-        Some(word.clone())
+        report.vms = vms;
+        Some(report.clone())
     }
 
-    /// Takes in that the peer has answered the word that was under way.
+    /// Takes in that the peer has answered the report that was under way.
     pub fn answered(&mut self, now: Millis) {
         self.is_under_way = false;
         self.unconfirmed = None;
@@ -128,7 +128,7 @@
     fn take_all(&mut self) -> Counts {
         let mut counts = std::mem::take(&mut self.untold);
         let unconfirmed = self.unconfirmed.take();
-        for (account, count) in unconfirmed.map(|word| word.counts).unwrap_or_default() {
+        for (account, count) in unconfirmed.map(|report| report.counts).unwrap_or_default() {
             add(&mut counts, &account, count);
         }
         counts
--- a/crates/edge/tests/quota.rs
+++ b/crates/edge/tests/quota.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 
 use heatherknot_edge::accounts::{Accounts, RateLimit};
-use heatherknot_edge::quota::counts::Word;
 use heatherknot_edge::quota::state::Quota;
+use heatherknot_edge::quota::usage::UsageReport;
 use heatherknot_test_support::property::check;
 use heatherknot_types::prelude::*;
 use support::quota_model::{Fault, Played, Scenario, Way, account_entry, play};
@@ -211,12 +211,12 @@
     }
 }
 
-/// Story: one word in twenty is lost, and one answer, and the others come late. A count that is
+/// Story: one report in twenty is lost, and one answer, and the others come late. A count that is
 /// taken twice would refuse what the account may send, and one that is lost would admit more.
 ///
-/// Grounds: 0.05 s more each way is what a crowded VM of a tenth of a core takes for a word.
+/// Grounds: 0.05 s more each way is what a crowded VM of a tenth of a core takes for a report.
 #[test]
-fn lost_and_late_words_are_counted_once() {
+fn lost_and_late_reports_are_counted_once() {
     for per_second in [16.0, 625.0] {
         let scenario = Scenario {
             faults: vec![(0, Fault::Lose(0.05)), (0, Fault::Delay(50))],
@@ -239,14 +239,14 @@
     let accounts = Accounts::new(vec![account_entry("north", limit(25.0))], Vec::new()).0;
     let world = Rc::new(RefCell::new(world_with(accounts, &clock.clock())));
     let quota = Quota::new(clock.timer(), world);
-    let word = |number| Word {
+    let report = |number| UsageReport {
         number,
-        ..Word::default()
+        ..UsageReport::default()
     };
 
-    let before = quota.take(&"vm-1".into(), Incarnation(1), &word(1));
+    let before = quota.take(&"vm-1".into(), Incarnation(1), &report(1));
     quota.note_vms(2);
-    let after = quota.take(&"vm-1".into(), Incarnation(1), &word(2));
+    let after = quota.take(&"vm-1".into(), Incarnation(1), &report(2));
 
     assert_eq!(before.parts, None);
     assert_eq!(after.parts, Some(BTreeMap::new()));
@@ -265,7 +265,7 @@
     }
 }
 
-/// Cuts, kills, lost and late words in series, at any moment of a surge: the sum over any five
+/// Cuts, kills, lost and late reports in series, at any moment of a surge: the sum over any five
 /// seconds stays within the bound.
 #[test]
 fn the_limit_holds_under_faults_by_chance() {
@@ -313,7 +313,7 @@
         Way::Lent,
         Way::Parts,
     ];
-    println!("limit,times,faults,way,most in 5 s,allowed,refused of owed,words a VM and second");
+    println!("limit,times,faults,way,most in 5 s,allowed,refused of owed,reports a VM and second");
     for per_second in [625.0, 60.0, 16.0, 1.6] {
         for (times, faults) in [
             (1.0, ""),
@@ -330,9 +330,9 @@
                     ..surge(per_second, times)
                 };
                 let played = play(&scenario, way);
-                let words = played.words as f64 / 87.0 / (scenario.end as f64 / 1_000.0);
+                let reports = played.reports as f64 / 87.0 / (scenario.end as f64 / 1_000.0);
                 println!(
-                    "{per_second},{times},{faults},{way:?},{},{},{:.3},{words:.2}",
+                    "{per_second},{times},{faults},{way:?},{},{},{:.3},{reports:.2}",
                     played.most_within(WINDOW),
                     bound(scenario.limit),
                     refused_of_owed(&played),
--- a/crates/edge/tests/support/quota_model.rs
+++ b/crates/edge/tests/support/quota_model.rs
@@ -1,17 +1,17 @@
-//! A fleet that keeps an account to its quota: the real meters, pools and words, with a clock, a
+//! A fleet that keeps an account to its quota: the real meters, pools and reports, with a clock, a
 //! network and callers of the test's own.
 
 use std::collections::HashMap;
 
 use heatherknot_edge::accounts::{Account, AccountEntry, Accounts, RateLimit};
-use heatherknot_edge::quota::counts::{Counts, Teller, Word};
 use heatherknot_edge::quota::meter::{Meter, Verdict};
-use heatherknot_edge::quota::pool::Pool;
+use heatherknot_edge::quota::totals::Totals;
+use heatherknot_edge::quota::usage::{Counts, Reporter, UsageReport};
 use heatherknot_types::prelude::*;
 
 /// A step of the model's clock.
 const STEP: u64 = 10;
-/// The time between two words while nothing surges, and while something does.
+/// The time between two reports while nothing surges, and while something does.
 const PERIOD: u64 = 300;
 const SURGE_PERIOD: u64 = 60;
 /// One way within a domain, and between two.
@@ -50,9 +50,9 @@
     Heal,
     /// These processes are killed and start again.
     Kill(Vec<usize>),
-    /// From now on this part of the words, and of the answers, is lost.
+    /// From now on this part of the reports, and of the answers, is lost.
     Lose(f64),
-    /// From now on words take this much longer.
+    /// From now on reports take this much longer.
     Delay(u64),
 }
 
@@ -81,8 +81,8 @@
     /// Requests that one counter in one place would have admitted.
     pub owed: u64,
     /// Words that VMs sent.
-    pub words: u64,
-    /// Accounts that words told of.
+    pub reports: u64,
+    /// Accounts that reports told of.
     pub told: u64,
 }
 
@@ -101,7 +101,7 @@
     }
 }
 
-/// A word on its way, and the answer to it.
+/// A report on its way, and the answer to it.
 #[derive(Clone, Copy)]
 struct Call {
     from: usize,
@@ -113,7 +113,7 @@
 }
 
 enum Event {
-    Word(Call, Word),
+    UsageReport(Call, UsageReport),
     Answer(Call, Option<HashMap<AccountName, f64>>),
     Timeout(Call),
 }
@@ -123,8 +123,8 @@
     incarnation: u64,
     up_at: u64,
     meter: Meter,
-    pool: Pool,
-    tellers: HashMap<usize, Teller>,
+    totals: Totals,
+    reporters: HashMap<usize, Reporter>,
     /// The calls that wait for an answer, by peer.
     waits_for: HashMap<usize, u64>,
     next_step: u64,
@@ -207,7 +207,7 @@
                 admitted: Vec::new(),
                 asked: 0,
                 owed: 0,
-                words: 0,
+                reports: 0,
                 told: 0,
             },
         }
@@ -254,7 +254,7 @@
         }
         for at in 0..self.vms.len() {
             let vm = &self.vms[at];
-            let surges = vm.meter.has_surge() || vm.pool.has_surge();
+            let surges = vm.meter.has_surge() || vm.totals.has_surge();
             let is_due = now >= vm.next_step || (surges && now >= vm.stepped + SURGE_PERIOD);
             if vm.up_at <= now && is_due {
                 self.vms[at].next_step = now + PERIOD;
@@ -273,7 +273,7 @@
         if is_collector {
             let vms = self.vms.len();
             let vm = &mut self.vms[at];
-            vm.pool.take_own(&counts, &self.accounts, Millis(now));
+            vm.totals.take_own(&counts, &self.accounts, Millis(now));
             let parts = self.parts(at, vms, now);
             self.vms[at].meter.take_parts(parts, Millis(now));
         } else {
@@ -287,11 +287,11 @@
                 self.tell(at, *leader, &counts, None, now);
             }
         }
-        let heard = self.vms[at].pool.heard_here(Millis(now)) + u32::from(is_collector);
+        let heard = self.vms[at].totals.heard_here(Millis(now)) + u32::from(is_collector);
         if heard == 0 || self.way == Way::Lent {
             return;
         }
-        let collected = self.vms[at].pool.take_collected();
+        let collected = self.vms[at].totals.take_collected();
         for domain in 0..self.scenario.domains.len() {
             for leader in self.leaders_to_tell(at, domain) {
                 if leader != at {
@@ -302,11 +302,11 @@
     }
 
     fn parts(&mut self, at: usize, vms: usize, now: u64) -> HashMap<AccountName, f64> {
-        let pool = &mut self.vms[at].pool;
+        let totals = &mut self.vms[at].totals;
         if matches!(self.way, Way::Parts | Way::Lent) {
-            return pool.parts(&self.accounts, vms, Millis(now));
+            return totals.parts(&self.accounts, vms, Millis(now));
         }
-        let standings = pool.standings(vms, Millis(now)).into_iter();
+        let standings = totals.standings(vms, Millis(now)).into_iter();
         let full = standings.filter(|(_, standing)| standing.level < 1.0);
         full.map(|(name, _)| (name, 0.0)).collect()
     }
@@ -315,34 +315,35 @@
         let is_there = |vm: &usize| self.way == Way::Lent || self.vms[*vm].domain == domain;
         let there = (0..self.vms.len()).filter(is_there);
         let leaders: Vec<usize> = there.take(2).collect();
-        let tellers = &self.vms[at].tellers;
-        let answers = |vm: &usize| *vm == at || !tellers.get(vm).is_some_and(Teller::is_avoided);
+        let reporters = &self.vms[at].reporters;
+        let answers =
+            |vm: &usize| *vm == at || !reporters.get(vm).is_some_and(Reporter::is_avoided);
         let first = leaders.iter().position(answers);
         leaders[..first.map_or(leaders.len(), |first| first + 1)].to_vec()
     }
 
     fn tell(&mut self, at: usize, to: usize, counts: &Counts, vms: Option<u32>, now: u64) {
         let vm = &mut self.vms[at];
-        let teller = vm.tellers.entry(to).or_default();
+        let reporter = vm.reporters.entry(to).or_default();
         counts
             .iter()
-            .for_each(|(name, count)| teller.add(name, *count, Millis(now)));
-        let Some(word) = teller.begin(vms, Millis(now)) else {
+            .for_each(|(name, count)| reporter.add(name, *count, Millis(now)));
+        let Some(report) = reporter.begin(vms, Millis(now)) else {
             return;
         };
-        self.played.words += 1;
-        self.played.told += word.counts.len() as u64;
+        self.played.reports += 1;
+        self.played.told += report.counts.len() as u64;
         let call = Call {
             from: at,
             incarnation: vm.incarnation,
             to,
-            number: self.played.words,
+            number: self.played.reports,
             is_own: vms.is_none(),
         };
         vm.waits_for.insert(to, call.number);
         let limit = if call.is_own { LIMIT_HERE } else { LIMIT_AWAY };
         self.events.push((now + limit, Event::Timeout(call)));
-        self.post(at, to, Event::Word(call, word), now);
+        self.post(at, to, Event::UsageReport(call, report), now);
     }
 
     fn post(&mut self, from: usize, to: usize, event: Event, now: u64) {
@@ -367,12 +368,15 @@
 
     fn take(&mut self, event: Event, now: u64) {
         match event {
-            Event::Word(call, word) => self.take_word(call, &word, now),
+            Event::UsageReport(call, report) => self.take_report(call, &report, now),
             Event::Answer(call, parts) => {
                 let Some(vm) = self.waiting(call) else {
                     return;
                 };
-                vm.tellers.entry(call.to).or_default().answered(Millis(now));
+                vm.reporters
+                    .entry(call.to)
+                    .or_default()
+                    .answered(Millis(now));
                 if let Some(parts) = parts {
                     vm.meter.take_parts(parts, Millis(now));
                 }
@@ -381,7 +385,7 @@
                 let Some(vm) = self.waiting(call) else {
                     return;
                 };
-                let untold = vm.tellers.entry(call.to).or_default().failed(Millis(now));
+                let untold = vm.reporters.entry(call.to).or_default().failed(Millis(now));
                 if call.is_own {
                     vm.meter.put_back(untold);
                 }
@@ -389,14 +393,14 @@
         }
     }
 
-    fn take_word(&mut self, call: Call, word: &Word, now: u64) {
+    fn take_report(&mut self, call: Call, report: &UsageReport, now: u64) {
         if self.vms[call.to].up_at > now {
             return;
         }
         let name = VmName::from(format!("vm-{}", call.from));
         let incarnation = Incarnation(call.incarnation);
-        let pool = &mut self.vms[call.to].pool;
-        pool.take(&name, incarnation, word, &self.accounts, Millis(now));
+        let totals = &mut self.vms[call.to].totals;
+        totals.take(&name, incarnation, report, &self.accounts, Millis(now));
         let vms = self.vms.len();
         let parts = call.is_own.then(|| self.parts(call.to, vms, now));
         self.post(call.to, call.from, Event::Answer(call, parts), now);
@@ -422,8 +426,8 @@
             incarnation: rng.u64(1..),
             up_at,
             meter: Meter::default(),
-            pool: Pool::new(Millis(up_at)),
-            tellers: HashMap::new(),
+            totals: Totals::new(Millis(up_at)),
+            reporters: HashMap::new(),
             waits_for: HashMap::new(),
             next_step: up_at + rng.u64(..PERIOD),
             stepped: 0,
