--- a/crates/edge/src/accounts.rs
+++ b/crates/edge/src/accounts.rs
@@ -196,6 +196,11 @@
         &self.bound
     }
 
+    /// Gives the limit of an account, where it has one.
+    pub fn limit_of(&self, name: &AccountName) -> Option<RateLimit> {
+        self.by_name.get(name)?.limit
+    }
+
     /// Gives every account.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/crates/edge/src/quota/totals.rs
+++ b/crates/edge/src/quota/totals.rs
@@ -28,6 +28,9 @@
 const LEAST_HEARD: f64 = 0.2;
 /// How long what is admitted too much counts. It bounds the pause after a surge.
 const LONGEST_DEBT: f64 = 5.0;
+/// How long a sender that says nothing is remembered, so that a report of its that comes late is
+/// known. Reports wait for two seconds at most.
+const SENDER_KEPT: Millis = Millis(60_000);
 /// The part of an account's limit of a second from which what was collected is told at once.
 const SURGE_PART: f64 = 0.05;
 /// The requests that are no surge, however low the limit.
@@ -36,9 +39,9 @@
 /// What is known of all VMs' requests.
 #[derive(Debug)]
 pub struct Totals {
-    /// When it began to hear of requests, without a pause since.
+    /// When the first report came of those that have come without a pause since.
     started: Millis,
-    /// When it heard of any last.
+    /// When the last report came.
     heard: Millis,
     totals: HashMap<AccountName, AccountTotal>,
     senders: HashMap<VmName, Sender>,
@@ -152,7 +155,7 @@
     fn count(&mut self, counts: &Counts, accounts: &Accounts, now: Millis) {
         self.note_heard(now);
         for (name, count) in counts {
-            let Some(limit) = accounts.named(name.as_str()).and_then(|a| a.limit) else {
+            let Some(limit) = accounts.limit_of(name) else {
                 continue;
             };
             let started = self.started;
@@ -167,7 +170,7 @@
     fn collect(&mut self, counts: &Counts, accounts: &Accounts) {
         for (name, count) in counts {
             add(&mut self.collected, name, *count);
-            let limit = accounts.named(name.as_str()).and_then(|a| a.limit);
+            let limit = accounts.limit_of(name);
             let Some((limit, collected)) = limit.zip(self.collected.get(name)) else {
                 continue;
             };
@@ -238,9 +241,7 @@
     fn forget(&mut self, accounts: &Accounts, now: Millis) {
         let reached = self.reached;
         self.totals.retain(|name, total| {
-            let limit = accounts
-                .named(name.as_str())
-                .and_then(|account| account.limit);
+            let limit = accounts.limit_of(name);
             limit.is_some_and(|limit| {
                 total.fill(limit, reached, now);
                 // Full and not asked for: as it would be made anew, once the totals are old enough.
@@ -248,7 +249,7 @@
             })
         });
         self.senders
-            .retain(|_, sender| now.since(sender.heard) < Millis(60_000));
+            .retain(|_, sender| now.since(sender.heard) < SENDER_KEPT);
     }
 }
 
