Tell how many requests a VM sent to each region and how many are under way

Requests of two regions changed the region in which they run within two seconds, with no trouble near. A line is written for one request in 64 and a handed request leaves none at the VM that decided, so the logs could not tell decisions that moved from requests that only arrive later from far regions. Each VM now writes one line a service each two seconds: sent and under way by region, and the threshold of the service.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -22,6 +22,7 @@
 use crate::presence::{self, VmEntries, VmEntry};
 use crate::quota::state::Quota;
 use crate::reach::RouteReach;
+use crate::region_counts::RegionCounts;
 use crate::relay::Relay;
 use crate::room::RegionParts;
 use crate::settings::{Bounds, EdgeConfig};
@@ -113,6 +114,8 @@
     pub asked: RefCell<Window>,
     /// Which part of the objects other regions serve.
     pub spill: Spill,
+    /// How many requests this VM sent to each region.
+    pub sent: RegionCounts,
     /// Which part of its room each region leaves to requests that may run anywhere.
     pub parts: RegionParts,
     /// Where objects are put, as far as this VM is the home of their servers.
@@ -136,6 +139,7 @@
                 budget: RefCell::new(RetryBudget::new(&self.bounds)),
                 asked: RefCell::new(Window::new(IDLE_KEPT)),
                 spill: Spill::default(),
+                sent: RegionCounts::default(),
                 parts: RegionParts::default(),
                 spread: Spread::default(),
                 cold_next: RefCell::default(),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -106,6 +106,8 @@
         }
         tries.servers.push(prospect.upstream.id.clone());
         let at = cx.now();
+        let is_callers = call.meant.is_none();
+        let _under_way = is_callers.then(|| call.state.sent.begin(&prospect.upstream.region));
         let attempt = attempt::send(cx, call, &prospect).await;
         tries
             .sent
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -125,6 +125,7 @@
         return None;
     }
     let began = cx.now();
+    let _under_way = call.state.sent.begin(&upstream.region);
     let outcome = send(cx, call, &peer, &upstream).await;
     let label = outcome.label();
     cx.metrics.handed.with_label_values(&[label]).inc();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod quantile;
 pub mod quota;
 pub mod reach;
+pub mod region_counts;
 pub mod registration;
 pub mod relay;
 mod reply;
--- a/crates/edge/src/spill_step.rs
+++ b/crates/edge/src/spill_step.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use heatherknot_types::prelude::*;
+use log::info;
 
 use crate::accounts::Accounts;
 use crate::catalog::Catalog;
@@ -24,6 +25,7 @@
         return;
     };
     for spec in catalog.services() {
+        tell_sent(cx, &spec.name, now);
         step_parts(cx, &catalog, &spec.name, now);
     }
     let has = |mechanism| cx.switches.has(mechanism);
@@ -54,6 +56,16 @@
     routes.retain(|name, _| catalog.has_route(name));
 }
 
+/// Tells where requests for a service were sent, and where its threshold stands.
+fn tell_sent(cx: &EdgeContext, service: &ServiceName, now: Millis) {
+    let state = cx.service(service);
+    if let Some(summary) = state.sent.take_summary(now) {
+        info!(service:% = service, requests = summary.requests, sent = summary.sent.as_str(),
+            under_way = summary.under_way.as_str(), part_away = state.spill.part(),
+            span_ms = summary.span.0; "requests sent to regions");
+    }
+}
+
 /// Moves the parts of a service's regions that are left to requests which may run anywhere.
 fn step_parts(cx: &EdgeContext, catalog: &Catalog, service: &ServiceName, now: Millis) {
     let bound = catalog.accounts().map_or(&[][..], Accounts::bound);
