Show requests that change their region when callers end, in a test that fails

With no trouble near, over a third of a region's requests ran in other regions from one moment to the next. The test plays the real decisions over three regions with a clock and a network of its own, and breaks the bound of 15 in 100 at the end of callers.

--- /dev/null
+++ b/crates/edge/tests/regions.rs
@@ -0,0 +1,62 @@
+//! In which regions callers' requests run, over time. Nothing here needs a network.
+
+mod support;
+
+use heatherknot_types::prelude::*;
+use support::region_model::{Played, Region, Scenario, play};
+
+/// The part of a region's requests that may change the region in which they run from one window of
+/// two seconds to the next.
+const MOST: f64 = 0.15;
+/// The time after which a day's start is over: windows before it are not compared.
+const STARTED: u64 = 3_000;
+
+/// Three regions with callers alike; they have 41, 49 and 10 of 100 servers.
+fn uneven_regions(seed: u64) -> Scenario {
+    let region = |name, servers| Region {
+        name,
+        servers,
+        demand: 1_300.0,
+    };
+    Scenario {
+        regions: vec![
+            region("north", 204),
+            region("plaines", 244),
+            region("south", 50),
+        ],
+        way: 55,
+        objects: 355,
+        kept: 13,
+        work: 250.0,
+        target: Millis(600),
+        end: 15_000,
+        seed,
+    }
+}
+
+fn assert_no_shift(scenario: &Scenario, played: &Played) {
+    for (from, region) in scenario.regions.iter().enumerate() {
+        let (shift, at) = played.largest_shift(from, scenario.regions.len(), STARTED);
+        assert!(
+            shift <= MOST,
+            "{shift:.2} of the requests from {} change their region at {at} ms, seed {}",
+            region.name,
+            scenario.seed
+        );
+    }
+}
+
+/// Story: with no trouble near, 34 in 100 of the requests from one region and 40 in 100 of those
+/// from another ran in other regions from one moment to the next. At that moment callers ended,
+/// after eight calm seconds.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn where_callers_end_the_last_requests_run_where_those_before_them_did() {
+    for seed in 1..=3 {
+        let scenario = uneven_regions(seed);
+
+        let played = play(&scenario);
+
+        assert_no_shift(&scenario, &played);
+    }
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod quota_model;
+pub mod region_model;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
