Serve objects in the region of their callers, not by one server of all regions

With no trouble near, 34 and 40 in 100 of two regions' requests ran in other regions from one moment to the next, when callers ended.

Cause: where the way was short beside the latency target each object had one server in all regions, so half to two thirds of a region's requests were always under way for 55 ms, beside room at home. A share that is right in a steady flow only: any sudden change of a region's rate shows it. The region of callers now serves its objects, and sends away what it has no room for.

Ruled out: decisions that moved after the changes of the configuration, callers that came back (43 of 219).

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -43,8 +43,6 @@
     Region,
     /// In other regions.
     Away,
-    /// Anywhere.
-    Everywhere,
 }
 
 /// What a choice is made for.
@@ -154,7 +152,6 @@
         Place::Domain => upstream.domain == *wish.domain,
         Place::Region => upstream.region == *wish.region,
         Place::Away => upstream.region != *wish.region,
-        Place::Everywhere => true,
     }
 }
 
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -1,10 +1,9 @@
 //! How far away a route's objects may be served.
 //!
-//! One copy of an object in the whole system keeps servers warm best: callers that move to
-//! another region find their objects warm, and every server can take its part of the load.
-//! It costs the way there, in time and in bytes. So requests with little to carry are served
-//! anywhere where the way is short beside the latency target, others in the caller's region, and
-//! those with large bodies or answers in the caller's own failure domain where each object is
+//! An object is served in the region of its callers, and in others only as far as the region's own
+//! servers are too few. One copy in the whole system would save work that each region does afresh,
+//! but two requests in three would then be under way to another region, beside room in their own.
+//! Objects with large bodies or answers are served in the caller's own failure domain where each is
 //! asked for often enough there to stay warm.
 
 use std::cell::{Cell, RefCell};
@@ -19,14 +18,6 @@
 use crate::switches::{Mechanism, Switches};
 use crate::window::Window;
 
-/// The longest way to another region and back, as a part of the latency target, for objects
-/// that are served anywhere. What is left must do for the work and some waiting.
-///
-/// Of 0.15, 0.2, 0.25 and 0.45 the first two serve callers best where the work without a kept
-/// object takes about the target (0.702, 0.704, 0.691, 0.671 of worth, means of three seeds). Where
-/// it takes half as long again and servers are few, 0.25 does better than 0.2 (0.559 and 0.547,
-/// five seeds) and 0.15 worse yet.
-const SHORT_WAY: f64 = 0.2;
 /// Bytes of a request's body and its answer together from which they count as large: their
 /// transfer then costs more than the work that a second copy of the object takes.
 const LARGE: f64 = 32_000.0;
@@ -49,8 +40,6 @@
     Domain,
     /// In the caller's region, or in others where the region's own servers are too few.
     Region,
-    /// By one server of the whole system.
-    Everywhere,
 }
 
 /// What is learned of one route.
@@ -59,11 +48,8 @@
     size: Ewma,
     requests: RefCell<Window>,
     objects: RefCell<HashSet<u64>>,
-    regional: Cell<Option<f64>>,
     in_domain: Cell<f64>,
     moved: Cell<Millis>,
-    /// Whether a request has gone by it.
-    is_used: Cell<bool>,
     /// Whether its requests carry much.
     is_large: Cell<bool>,
 }
@@ -74,10 +60,8 @@
             size: Ewma::default(),
             requests: RefCell::new(Window::new(RATE_SPAN)),
             objects: RefCell::default(),
-            regional: Cell::new(None),
             in_domain: Cell::new(0.0),
             moved: Cell::new(Millis(0)),
-            is_used: Cell::new(false),
             is_large: Cell::new(false),
         }
     }
@@ -85,11 +69,7 @@
 
 /// What the reach of a route follows from, beside its requests and answers.
 #[derive(Clone, Copy, Debug)]
-pub struct Distance {
-    /// The time to another region and back, where it is known.
-    pub round_trip: Option<Millis>,
-    /// The latency target.
-    pub target: Millis,
+pub struct Carried {
     /// Whether the bodies or the answers are known to be large before one was seen.
     pub large: bool,
     /// The VMs of this domain, which share its callers.
@@ -114,14 +94,10 @@
 
     /// Gives where an object is served.
     pub fn of(&self, object: u64) -> Reach {
-        self.is_used.set(true);
-        let draw = |salt| hash::unit_interval(hash::rendezvous(&[&object.to_le_bytes()], salt));
-        if draw("domain") < self.in_domain.get() {
-            return Reach::Domain;
-        }
-        match draw("region") < self.regional.get().unwrap_or(1.0) {
-            true => Reach::Region,
-            false => Reach::Everywhere,
+        let draw = hash::rendezvous(&[&object.to_le_bytes()], "domain");
+        match hash::unit_interval(draw) < self.in_domain.get() {
+            true => Reach::Domain,
+            false => Reach::Region,
         }
     }
 
@@ -145,34 +121,19 @@
             Reach::Domain => Place::Domain,
             Reach::Region if self.may_leave(switches) && spill.is_away(object) => Place::Away,
             Reach::Region => Place::Region,
-            Reach::Everywhere => Place::Everywhere,
         }
     }
 
     /// Moves the route's reach for the time since it was moved last.
-    ///
-    /// Until the first request goes by it, it is where it should be at once: the first measurement
-    /// of a way, made while everything starts, may be too long by a quarter, and objects would be
-    /// moved from where that had put them for the next 25 s.
-    pub fn step(&self, distance: Distance, now: Millis) {
+    pub fn step(&self, carried: Carried, now: Millis) {
         let elapsed = now.since(self.moved.replace(now)).as_secs_f64().min(1.0);
         let most = MOST_A_SECOND * elapsed;
         let large = match self.size.get() {
             Some(size) => size >= LARGE,
-            None => distance.large,
+            None => carried.large,
         };
         self.is_large.set(large);
-        let Some(round_trip) = distance.round_trip else {
-            return;
-        };
-        let is_far = round_trip.0 as f64 > distance.target.0 as f64 * SHORT_WAY;
-        let goal = if is_far || large { 1.0 } else { 0.0 };
-        let next = match self.regional.get() {
-            Some(part) if self.is_used.get() => part + (goal - part).clamp(-most, most),
-            _ => goal,
-        };
-        self.regional.set(Some(next));
-        let stays = large && next >= 1.0 && self.rate_here(distance.vms_here, now) >= OFTEN;
+        let stays = large && self.rate_here(carried.vms_here, now) >= OFTEN;
         let step = if stays { most } else { -most };
         self.in_domain
             .set((self.in_domain.get() + step).clamp(0.0, 1.0));
--- a/crates/edge/src/spill_step.rs
+++ b/crates/edge/src/spill_step.rs
@@ -10,7 +10,7 @@
 use crate::catalog::Catalog;
 use crate::context::EdgeContext;
 use crate::presence;
-use crate::reach::Distance;
+use crate::reach::Carried;
 use crate::room::parts_left;
 use crate::spill::Room;
 use crate::switches::Mechanism;
@@ -36,13 +36,7 @@
     let here = presence::alive(cx);
     let vms_here = here.iter().filter(|vm| vm.domain == cx.cfg.domain).count();
     for route in catalog.routes() {
-        let distance = Distance {
-            // As far as the whole target: nothing is served everywhere.
-            round_trip: match has(Mechanism::Everywhere) {
-                true => cx.distances.round_trip(),
-                false => Some(route.latency_target),
-            },
-            target: route.latency_target,
+        let carried = Carried {
             large: route.large_answers || route.large_bodies,
             // With no VM here no object is asked for often enough to stay in the domain.
             vms_here: match has(Mechanism::OwnDomain) {
@@ -50,7 +44,7 @@
                 false => 0,
             },
         };
-        cx.route(&route.name).step(distance, now);
+        cx.route(&route.name).step(carried, now);
     }
     let mut routes = cx.routes.borrow_mut();
     routes.retain(|name, _| catalog.has_route(name));
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -8,8 +8,6 @@
 pub enum Mechanism {
     /// A busy region sends a part of its objects away.
     Spill,
-    /// Objects are served by one server of the whole system where the way is short.
-    Everywhere,
     /// Objects that carry much are served in the caller's failure domain.
     OwnDomain,
     /// What carries much is not sent away.
