--- a/crates/edge/tests/load_patterns.rs
+++ b/crates/edge/tests/load_patterns.rs
@@ -117,6 +117,41 @@
     assert!(spill.part() < 0.01, "{}", spill.part());
 }
 
+/// Pattern: a region with few servers, some of whose slots are free.
+///
+/// Story: the region takes back what it had sent away until its requests wait. Its servers get twice
+/// the objects that they keep and do all work afresh; of a region's requests twice as many are
+/// refused as before.
+///
+/// Grounds: a ninth of the slots in one of three regions, none of them waited for in 20 s.
+#[test]
+fn a_region_takes_no_more_objects_than_its_part_of_the_slots() {
+    let spill = Spill::default();
+    let few = Room {
+        own: 20.0,
+        elsewhere: 160.0,
+        regions: 3,
+        way: Some(Millis(110)),
+    };
+    let idle = ServerLoad {
+        running: 1,
+        waiting: 0,
+        slots: 3,
+    };
+    spill.step(few, Millis(0));
+    let at_first = spill.part();
+    let _a_caller_has_come = spill.is_away(1);
+
+    for tick in 1..=80 {
+        let now = Millis(tick * TICK.0);
+        spill.note(true, idle, Millis(260), now);
+        spill.note(false, idle, Millis(370), now);
+        spill.step(few, now);
+    }
+
+    assert!((spill.part() - at_first).abs() < 1e-9, "{}", spill.part());
+}
+
 /// Pattern: a region with a third of the callers and a tenth of the servers.
 ///
 /// Story: the region sends seven objects in ten away, uploads of 60 KB among them. They fill the
