--- a/crates/edge/src/spill.rs
+++ b/crates/edge/src/spill.rs
@@ -142,8 +142,8 @@
         let most = MOST_A_SECOND * elapsed;
         let learned = self.learned.get() + self.wanted(room, now) * elapsed;
         // A region takes no more objects than its part of all slots, even while it has free ones:
-        // its servers keep as few objects as others do, and with more of them would do all work
-        // afresh.
+        // its servers keep as few objects as others do, and more of its requests were refused when
+        // it took them.
         self.learned.set(learned.max(0.0));
         let goal = (room.part_away() + self.learned.get()).clamp(0.0, 1.0);
         // What can't be followed is not to be wound up.
--- a/crates/edge/tests/load_patterns.rs
+++ b/crates/edge/tests/load_patterns.rs
@@ -119,9 +119,9 @@
 
 /// Pattern: a region with few servers, some of whose slots are free.
 ///
-/// Story: the region takes back what it had sent away until its requests wait. Its servers get twice
-/// the objects that they keep and do all work afresh; of a region's requests twice as many are
-/// refused as before.
+/// Story: the region takes back what it had sent away until its requests wait. Twice as many
+/// requests of the deployment are refused as before; its servers are thought to get more objects
+/// than they keep.
 ///
 /// Grounds: a ninth of the slots in one of three regions, none of them waited for in 20 s.
 #[test]
