Tell in the log which request a backend server had when it ended

What was collected of the incident can't tell its hypotheses apart: no line says which requests are the same but for their identifier, nor whether a server ended or only a connection to it broke. One line and one count for each request that a server had when it ended. No decision changes.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -38,6 +38,8 @@
     NotSent(&'static str),
     /// The backend server may have run the request; there is no usable answer.
     Unknown(&'static str),
+    /// The same, as the connection broke.
+    Broken(&'static str),
     /// The time ran out.
     Late,
     /// The caller has disconnected.
@@ -53,6 +55,7 @@
             Attempt::NotRun(_) => "not-run",
             Attempt::NotSent(_) => "not-sent",
             Attempt::Unknown(_) => "unknown",
+            Attempt::Broken(_) => "broken",
             Attempt::Late => "late",
             Attempt::CallerGone => "caller-gone",
         }
@@ -135,7 +138,7 @@
         Ok(response) => answered(cx, call, prospect, response, sent, flight),
         Err(cause) => {
             upstream.note_refusal(cx.now());
-            Attempt::Unknown(cause)
+            Attempt::Broken(cause)
         }
     }
 }
@@ -282,7 +285,7 @@
     match (error.handed(), now >= call.deadline) {
         (Handed::NotSent, _) => Attempt::NotSent("the server could not be reached"),
         (Handed::MaySent, true) => Attempt::Late,
-        (Handed::MaySent, false) => Attempt::Unknown("the connection to the server broke"),
+        (Handed::MaySent, false) => Attempt::Broken("the connection to the server broke"),
     }
 }
 
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -14,6 +14,7 @@
 use crate::context::{EdgeContext, ServiceState};
 use crate::hand_over::HandedWord;
 use crate::identify::{self, Unidentified};
+use crate::poison::fingerprint::{Fingerprint, Identity, KnownBody};
 use crate::presence;
 use crate::quota::meter::{Over, Verdict};
 use crate::switches::Mechanism;
@@ -78,6 +79,17 @@
         }
     }
 
+    /// Gives the body as far as it is known.
+    fn known(&self) -> KnownBody {
+        match self {
+            HeldBody::Whole(bytes) => KnownBody::Whole(vec![bytes.clone()]),
+            HeldBody::Kept(kept) => match kept.whole() {
+                Some(chunks) => KnownBody::Whole(chunks),
+                None => KnownBody::Length(kept.known_len()),
+            },
+        }
+    }
+
     /// Says whether it can be sent, or sent once more.
     pub(crate) fn is_there(&self) -> bool {
         match self {
@@ -101,6 +113,17 @@
         id_of(cx, &self.head)
     }
 
+    /// Tells it from other requests, whatever attempt of its caller it is.
+    pub(crate) fn fingerprint(&self, cx: &EdgeContext) -> Fingerprint {
+        let object = (cx.dialect.object)(&self.head.headers);
+        Fingerprint::of(&Identity {
+            head: &self.head,
+            account: self.account.as_ref().map(|account| account.name.as_str()),
+            object: object.as_deref(),
+            body: &self.body.known(),
+        })
+    }
+
     /// Gives the time left at `now`.
     pub(crate) fn left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,9 +1,11 @@
 //! The way of one request: its route, its backend servers one after the other, its answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use heatherknot_http::{Request, Response};
 use heatherknot_types::prelude::*;
+use log::info;
 
 use crate::attempt::{self, Attempt};
 use crate::call::{self, Call, Unroutable};
@@ -12,8 +14,10 @@
 use crate::hand_over;
 use crate::identify::Unidentified;
 use crate::pick::{self, Refusal};
+use crate::poison::crash;
 use crate::reply;
 use crate::story::{self, Sent};
+use crate::upstream::Upstream;
 
 /// When a caller may come back to a daemon that has no configuration yet.
 const NO_CATALOG_RETURN: Millis = Millis(300);
@@ -83,7 +87,7 @@
 }
 
 /// Answers a request that has a route: by the home of its server, or from here.
-pub(crate) async fn answer(cx: &EdgeContext, mut call: Call) -> Response {
+pub(crate) async fn answer(cx: &Rc<EdgeContext>, mut call: Call) -> Response {
     let mut tries = Tries::default();
     if let Some(response) = hand_over::hand_over(cx, &mut call, &mut tries).await {
         return response;
@@ -95,7 +99,7 @@
     response
 }
 
-async fn serve(cx: &EdgeContext, call: &mut Call, tries: &mut Tries) -> Response {
+async fn serve(cx: &Rc<EdgeContext>, call: &mut Call, tries: &mut Tries) -> Response {
     while call.body.is_there() {
         let prospect = match pick::pick(cx, call, &tries.servers) {
             Ok(prospect) => prospect,
@@ -140,6 +144,11 @@
                 tries.note_may_have_run(cause);
                 tries.failure = None;
             }
+            Attempt::Broken(cause) => {
+                tries.note_may_have_run(cause);
+                tries.failure = None;
+                look_into_end(cx, call, &prospect.upstream);
+            }
         }
         if tries.may_have_run > 0 && !call.route.idempotent {
             break;
@@ -148,6 +157,24 @@
     give_up(cx, call, tries, &Refusal::out_of_tries())
 }
 
+/// Tells in the log of a server that has ended while it had a request.
+fn look_into_end(cx: &Rc<EdgeContext>, call: &Call, upstream: &Rc<Upstream>) {
+    let fingerprint = call.fingerprint(cx);
+    let id = call.id(cx).to_owned();
+    let route = Arc::clone(&call.route.name);
+    let others = upstream.in_flight();
+    let (cx, upstream) = (Rc::clone(cx), Rc::clone(upstream));
+    monoio::spawn(async move {
+        if !crash::has_ended(&upstream).await {
+            return;
+        }
+        let service = upstream.service.as_str();
+        cx.metrics.server_ends.with_label_values(&[service]).inc();
+        info!(id = id.as_str(), fingerprint:% = fingerprint, route:% = route, upstream:% = upstream.id, service,
+            others; "a backend server ended while it had a request");
+    });
+}
+
 impl Tries {
     /// Notes a send that a server may have run and to which there is no usable answer.
     pub(crate) fn note_may_have_run(&mut self, cause: &'static str) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod packed;
 pub mod peer_feed;
 mod pick;
+pub mod poison;
 pub mod presence;
 pub mod quantile;
 pub mod quota;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,8 @@
     pub latency: HistogramVec,
     /// Sends to backend servers by service and result.
     pub sends: IntCounterVec,
+    /// Requests that a backend server had when it ended, by service.
+    pub server_ends: IntCounterVec,
     /// Requests handed to the homes of their servers, by result.
     pub handed: IntCounterVec,
     /// Refusals by service and cause.
@@ -75,6 +77,11 @@
                 "Sends to backend servers by service and result",
                 &["service", "result"],
             )?,
+            server_ends: counters(
+                "heatherknot_requests_at_server_ends_total",
+                "Requests that a backend server had when it ended, by service",
+                &["service"],
+            )?,
             handed: counters(
                 "heatherknot_handed_total",
                 "Requests handed to the homes of their servers, by result",
--- a/crates/edge/src/story.rs
+++ b/crates/edge/src/story.rs
@@ -50,7 +50,10 @@
     ) -> Self {
         let upstream = &prospect.upstream;
         let cause = match attempt {
-            Attempt::NotRun(cause) | Attempt::NotSent(cause) | Attempt::Unknown(cause) => cause,
+            Attempt::NotRun(cause)
+            | Attempt::NotSent(cause)
+            | Attempt::Unknown(cause)
+            | Attempt::Broken(cause) => cause,
             Attempt::Answer(_) | Attempt::Failure(_) | Attempt::Late | Attempt::CallerGone => "",
         };
         Self {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -9,6 +9,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::ewma::{Ewma, fade};
+use crate::poison::crash::EndProbe;
 use crate::registration::Registration;
 
 /// Objects that are remembered of one backend server. Servers keep tens of objects at most,
@@ -61,6 +62,8 @@
     pub open_part: Cell<f64>,
     /// When it registered, on this process's clock.
     pub joined: Millis,
+    /// The last question whether it has ended.
+    pub(crate) end_probe: RefCell<Option<EndProbe>>,
     in_flight: Cell<u32>,
     others: Ewma,
     told_at: Cell<Millis>,
@@ -131,6 +134,7 @@
             cold_unless_told: Cell::new(false),
             open_part: Cell::new(1.0),
             joined: clock.now(),
+            end_probe: RefCell::default(),
             in_flight: Cell::new(0),
             others: Ewma::default(),
             told_at: Cell::new(Millis(0)),
@@ -248,6 +252,7 @@
 
     /// Takes in that it answered something, whatever that was.
     pub fn note_sign_of_life(&self, now: Millis) {
+        self.end_probe.take();
         self.answered_at.set(now);
     }
 
--- a/crates/http/src/kept.rs
+++ b/crates/http/src/kept.rs
@@ -58,6 +58,8 @@
     chunks: RefCell<Vec<Bytes>>,
     /// What was not read yet, while nobody reads it.
     rest: RefCell<Option<Body>>,
+    /// Whether it was read to its end.
+    has_ended: Cell<bool>,
     /// Whether something that was read is not kept, or the body broke.
     is_lost: Cell<bool>,
 }
@@ -70,6 +72,7 @@
             room: Rc::clone(room),
             chunks: RefCell::default(),
             rest: RefCell::new(Some(body)),
+            has_ended: Cell::new(false),
             is_lost: Cell::new(false),
         };
         Self {
@@ -88,6 +91,14 @@
         !self.state.is_lost.get() && self.state.rest.borrow().is_some()
     }
 
+    /// Gives all of the body, where it was read to its end and all of it is kept.
+    pub fn whole(&self) -> Option<Vec<Bytes>> {
+        let chunks = self.state.chunks.borrow();
+        let kept: u64 = chunks.iter().map(len).sum();
+        let is_whole = self.state.has_ended.get() || self.len == Some(kept);
+        (is_whole && !self.state.is_lost.get()).then(|| chunks.clone())
+    }
+
     /// Gives the body from its first byte on, or nothing where a part that was sent before is not
     /// kept any more, or an earlier send still reads it.
     pub fn take(&self) -> Option<Body> {
@@ -166,7 +177,7 @@
                 self.next += 1;
             }
             Some(Err(_)) => self.state.lose(),
-            None => {}
+            None => self.state.has_ended.set(true),
         }
         read
     }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -191,6 +191,19 @@
         exchange::run(&self.inner, connection, head, body, options.deadline).await
     }
 
+    /// Opens a connection, which the next request may use.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where none could be opened; [`SendError::is_refused`] tells a peer that
+    /// has ended from one that can't be reached.
+    pub async fn reopen(&self) -> Result<(), SendError> {
+        let limit = self.inner.config.connect_timeout;
+        let connection = self.inner.connect(limit, None).await?;
+        connection.put_back();
+        Ok(())
+    }
+
     async fn connection(&self, options: &SendOptions) -> Result<PooledConnection, SendError> {
         let inner = &self.inner;
         let limit = inner.time_left(options.deadline, inner.config.connect_timeout);
--- a/crates/http/src/send_error.rs
+++ b/crates/http/src/send_error.rs
@@ -130,6 +130,14 @@
         }
     }
 
+    /// Says whether the peer's system refused a connection: no process listens there.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            SendError::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
     /// Says whether a new connection may do better at once: the request failed on a reused
     /// connection that closed or went silent.
     pub fn is_stale_connection(&self) -> bool {
