Reject a request after three servers have ended under it, at all VMs

What callers saw: one request ended 22 servers of a service of 14; a third of all requests beside it were refused or late meanwhile.

Cause: nothing remembers a request beyond its own attempt, and the request comes again with another identifier at any VM.

A break is an end where the server refuses the next connection. Ends are held by fingerprint and told to the leaders of domains and by them to all VMs; three reject the request, and a row in the platform's store tells VMs that start. A run after which the server lives voids the ends. A suspected request goes where its fingerprint leads, alone, and is not sent again within the attempt that ended the second server. Decided again at each send and before each hand-over. A home that ends under a request counts alike. Switch: poison.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Reads the rest of a long one, where it can be kept.
+    pub(crate) async fn read_rest(&self) {
+        if let HeldBody::Kept(kept) = self {
+            kept.read_rest().await;
+        }
+    }
+
     /// Says whether it can be sent, or sent once more.
     pub(crate) fn is_there(&self) -> bool {
         match self {
@@ -115,12 +122,28 @@
 
     /// Tells it from other requests, whatever attempt of its caller it is.
     pub(crate) fn fingerprint(&self, cx: &EdgeContext) -> Fingerprint {
+        self.fingerprint_with(cx, &self.body.known())
+    }
+
+    /// Gives the fingerprints under which it may be known. A server may have ended before all of a
+    /// long body was there, so that only its length told the request from others.
+    pub(crate) fn fingerprints(&self, cx: &EdgeContext) -> Vec<Fingerprint> {
+        let known = self.body.known();
+        let mut all = vec![self.fingerprint_with(cx, &known)];
+        if let (HeldBody::Kept(kept), KnownBody::Whole(_)) = (&self.body, &known) {
+            let by_length = KnownBody::Length(kept.known_len());
+            all.push(self.fingerprint_with(cx, &by_length));
+        }
+        all
+    }
+
+    fn fingerprint_with(&self, cx: &EdgeContext, body: &KnownBody) -> Fingerprint {
         let object = (cx.dialect.object)(&self.head.headers);
         Fingerprint::of(&Identity {
             head: &self.head,
             account: self.account.as_ref().map(|account| account.name.as_str()),
             object: object.as_deref(),
-            body: &self.body.known(),
+            body,
         })
     }
 
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::feed::Feed;
 use crate::homes::Homes;
 use crate::metrics::EdgeMetrics;
+use crate::poison::Poison;
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
 use crate::quota::{exchange, status};
@@ -31,7 +32,8 @@
 use crate::upstream::{self, IDLE_KEPT};
 use crate::world::World;
 use crate::{
-    call, distance, enter, forward, hand_over, lookup, peer_feed, presence, reply, spill_step, stop,
+    call, distance, enter, forward, hand_over, lookup, peer_feed, poison, presence, reply,
+    spill_step, stop,
 };
 
 /// How often idle connections are looked through, and missing backend servers.
@@ -181,6 +183,9 @@
     distance::register(&mut methods);
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&world)));
     exchange::register(&mut methods, &quota);
+    let poison = Rc::new(Poison::new(timer.clone()));
+    poison::exchange::register(&mut methods, &poison, &cfg.domain);
+    poison::rows::follow(&feed, &poison);
     let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
     Ok(Rc::new(EdgeContext {
         region,
@@ -205,6 +210,7 @@
         homes: Homes::default(),
         handed_token: Secret::new(cfg.secret.as_bytes()).token(HANDED_PURPOSE),
         quota,
+        poison,
         refused_lines: RefCell::default(),
         distances: Distances::default(),
         metrics,
@@ -349,6 +355,8 @@
     monoio::spawn(peer_feed::ask_seeds_first(Rc::clone(cx)));
     monoio::spawn(distance::run(Rc::clone(cx)));
     monoio::spawn(exchange::run(Rc::clone(cx)));
+    monoio::spawn(poison::exchange::run(Rc::clone(cx)));
+    monoio::spawn(poison::rows::run(Rc::clone(cx)));
     monoio::spawn(tick(Rc::clone(cx)));
     cx.membership.run(cx.net.clone());
 }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -69,8 +69,13 @@
     /// Until when this VM may watch the store in the place of watchers that hear nothing.
     stands_in_until: Cell<Millis>,
     news: RefCell<Flag>,
+    /// What else takes in changes, with the beginning of the keys that it wants.
+    followers: RefCell<Vec<(&'static str, Follower)>>,
 }
 
+/// Takes in a change of the store.
+type Follower = Rc<dyn Fn(&Change)>;
+
 impl Feed {
     /// Makes a feed that has read nothing.
     pub fn new(store: Store, timer: Timer, world: Rc<RefCell<World>>, settle: Millis) -> Rc<Self> {
@@ -90,6 +95,7 @@
             spared_until: Cell::new(Millis(0)),
             stands_in_until: Cell::new(Millis(0)),
             news: RefCell::default(),
+            followers: RefCell::default(),
         })
     }
 
@@ -109,6 +115,13 @@
         *self.pause_alone.borrow_mut() = Some(Rc::new(pause_alone));
     }
 
+    /// Has `follower` take in each change of keys that begin with `prefix`, before anything that
+    /// came with it has an effect.
+    pub fn follow_keys(&self, prefix: &'static str, follower: impl Fn(&Change) + 'static) {
+        let mut followers = self.followers.borrow_mut();
+        followers.push((prefix, Rc::new(follower)));
+    }
+
     /// Gives an event that happens when a change comes that peers need.
     pub fn news(&self) -> Flag {
         self.news.borrow().clone()
@@ -313,6 +326,10 @@
             let world = self.world.borrow();
             news.iter().filter(|change| world.matters(change)).collect()
         };
+        for (prefix, follower) in self.followers.borrow().iter() {
+            let wanted = news.iter().filter(|change| change.key.starts_with(prefix));
+            wanted.for_each(|change| follower(change));
+        }
         self.world.borrow_mut().take(news, settled);
         let mut mirror = self.mirror.borrow_mut();
         mattering
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,11 +1,9 @@
 //! The way of one request: its route, its backend servers one after the other, its answer.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use heatherknot_http::{Request, Response};
 use heatherknot_types::prelude::*;
-use log::info;
 
 use crate::attempt::{self, Attempt};
 use crate::call::{self, Call, Unroutable};
@@ -14,10 +12,9 @@
 use crate::hand_over;
 use crate::identify::Unidentified;
 use crate::pick::{self, Refusal};
-use crate::poison::crash;
+use crate::poison::guard::{self, Pass};
 use crate::reply;
 use crate::story::{self, Sent};
-use crate::upstream::Upstream;
 
 /// When a caller may come back to a daemon that has no configuration yet.
 const NO_CATALOG_RETURN: Millis = Millis(300);
@@ -41,6 +38,8 @@
     arrived: u32,
     /// Sends that a server may have run.
     may_have_run: u32,
+    /// Sends whose server ended.
+    ended: usize,
     /// Sends that reached nobody.
     unreached: u32,
     /// The last server's own answer that it failed.
@@ -89,6 +88,17 @@
 /// Answers a request that has a route: by the home of its server, or from here.
 pub(crate) async fn answer(cx: &Rc<EdgeContext>, mut call: Call) -> Response {
     let mut tries = Tries::default();
+    guard::read_body(cx, &call).await;
+    // Asked before it is handed over as well: a home that has not heard of it yet would send it.
+    match guard::ask(cx, &call, tries.ended) {
+        Pass::Free => {}
+        Pass::Apart(fingerprint, _) => call.object = guard::place_of(&fingerprint),
+        Pass::Stopped(cause) => {
+            let response = give_up(cx, &call, &mut tries, &Refusal::stopped(cause));
+            story::tell(cx, &call, &tries, &response);
+            return response;
+        }
+    }
     if let Some(response) = hand_over::hand_over(cx, &mut call, &mut tries).await {
         return response;
     }
@@ -101,6 +111,14 @@
 
 async fn serve(cx: &Rc<EdgeContext>, call: &mut Call, tries: &mut Tries) -> Response {
     while call.body.is_there() {
+        let under_way = match guard::ask(cx, call, tries.ended) {
+            Pass::Free => None,
+            Pass::Apart(fingerprint, under_way) => {
+                call.object = guard::place_of(&fingerprint);
+                Some(under_way)
+            }
+            Pass::Stopped(cause) => return give_up(cx, call, tries, &Refusal::stopped(cause)),
+        };
         let prospect = match pick::pick(cx, call, &tries.servers) {
             Ok(prospect) => prospect,
             Err(refusal) => return give_up(cx, call, tries, &refusal),
@@ -113,13 +131,17 @@
         let is_callers = call.meant.is_none();
         let _under_way = is_callers.then(|| call.state.sent.begin(&prospect.upstream.region));
         let attempt = attempt::send(cx, call, &prospect).await;
+        drop(under_way);
         tries
             .sent
             .push(Sent::new(cx, call, &prospect, at, &attempt));
         let labels = [call.service.as_str(), attempt.label()];
         cx.metrics.sends.with_label_values(&labels).inc();
         match attempt {
-            Attempt::Answer(response) => return response,
+            Attempt::Answer(response) => {
+                guard::note_clean_run(cx, call);
+                return response;
+            }
             Attempt::CallerGone => {
                 tries.cause = "the caller has disconnected";
                 return reply::unknown(tries.cause);
@@ -137,6 +159,7 @@
                 tries.cause = cause;
             }
             Attempt::Failure(response) => {
+                guard::note_clean_run(cx, call);
                 tries.note_may_have_run("the server failed");
                 tries.failure = Some(response);
             }
@@ -147,7 +170,8 @@
             Attempt::Broken(cause) => {
                 tries.note_may_have_run(cause);
                 tries.failure = None;
-                look_into_end(cx, call, &prospect.upstream);
+                let has_ended = guard::look_into_break(cx, call, &prospect.upstream).await;
+                tries.ended += usize::from(has_ended);
             }
         }
         if tries.may_have_run > 0 && !call.route.idempotent {
@@ -157,24 +181,6 @@
     give_up(cx, call, tries, &Refusal::out_of_tries())
 }
 
-/// Tells in the log of a server that has ended while it had a request.
-fn look_into_end(cx: &Rc<EdgeContext>, call: &Call, upstream: &Rc<Upstream>) {
-    let fingerprint = call.fingerprint(cx);
-    let id = call.id(cx).to_owned();
-    let route = Arc::clone(&call.route.name);
-    let others = upstream.in_flight();
-    let (cx, upstream) = (Rc::clone(cx), Rc::clone(upstream));
-    monoio::spawn(async move {
-        if !crash::has_ended(&upstream).await {
-            return;
-        }
-        let service = upstream.service.as_str();
-        cx.metrics.server_ends.with_label_values(&[service]).inc();
-        info!(id = id.as_str(), fingerprint:% = fingerprint, route:% = route, upstream:% = upstream.id, service,
-            others; "a backend server ended while it had a request");
-    });
-}
-
 impl Tries {
     /// Notes a send that a server may have run and to which there is no usable answer.
     pub(crate) fn note_may_have_run(&mut self, cause: &'static str) {
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -23,6 +23,7 @@
 use crate::forward::{self, Tries};
 use crate::homes::{Home, HomePeer};
 use crate::pick;
+use crate::poison::guard;
 use crate::reply;
 use crate::switches::Mechanism;
 use crate::upstream::{ServerLoad, Upstream};
@@ -84,6 +85,8 @@
     NotBegun(&'static str),
     /// It may have run, and there is no usable answer.
     Unknown(&'static str),
+    /// The same, as the connection to the home broke.
+    Broken(&'static str),
     /// The time ran out.
     Late,
     /// The caller has disconnected.
@@ -96,7 +99,7 @@
         match self {
             Outcome::Answered(_) => "answered",
             Outcome::NotBegun(_) => "not-begun",
-            Outcome::Unknown(_) => "unknown",
+            Outcome::Unknown(_) | Outcome::Broken(_) => "unknown",
             Outcome::Late => "late",
             Outcome::CallerGone => "caller-gone",
         }
@@ -105,7 +108,7 @@
     /// Gives why there is no answer, for the log.
     fn cause(&self) -> &'static str {
         match self {
-            Outcome::NotBegun(cause) | Outcome::Unknown(cause) => cause,
+            Outcome::NotBegun(cause) | Outcome::Unknown(cause) | Outcome::Broken(cause) => cause,
             Outcome::Answered(_) | Outcome::Late | Outcome::CallerGone => "",
         }
     }
@@ -114,7 +117,7 @@
 /// Hands a request to the home of its server, where that is of use. Gives the answer for the
 /// caller, or nothing where the request is still to be served here.
 pub(crate) async fn hand_over(
-    cx: &EdgeContext,
+    cx: &Rc<EdgeContext>,
     call: &mut Call,
     tries: &mut Tries,
 ) -> Option<Response> {
@@ -136,6 +139,11 @@
     match outcome {
         Outcome::Answered(response) => Some(response),
         Outcome::NotBegun(_) => None,
+        Outcome::Broken(cause) => {
+            guard::look_into_home(cx, call, &peer);
+            tries.note_may_have_run(cause);
+            (!call.route.idempotent).then(|| reply::unknown(cause))
+        }
         Outcome::Unknown(cause) => {
             tries.note_may_have_run(cause);
             (!call.route.idempotent).then(|| reply::unknown(cause))
@@ -267,7 +275,7 @@
     match (error.handed(), now >= call.deadline) {
         (Handed::NotSent, _) => Outcome::NotBegun("its home could not be reached"),
         (Handed::MaySent, true) => Outcome::Late,
-        (Handed::MaySent, false) => Outcome::Unknown("the connection to its server's home broke"),
+        (Handed::MaySent, false) => Outcome::Broken("the connection to its server's home broke"),
     }
 }
 
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -10,11 +10,16 @@
 use crate::choose::{self, Place, Prospect, Wish, choose};
 use crate::context::EdgeContext;
 use crate::hand_over;
+use crate::poison::guard;
 use crate::switches::Mechanism;
 use crate::upstream::Upstream;
 
 /// When a caller may come back where nothing better is known.
 const USUAL_RETURN: Millis = Millis(500);
+/// The same for a request that is rejected: an operator has to release it first.
+const REJECTED_RETURN: Millis = Millis(3_600_000);
+/// The same for one like which another is under way, until that one has ended.
+const SUSPECTED_RETURN: Millis = Millis(1_000);
 /// The part of the time left after which an answer is not expected to be of use any more.
 const USEFUL_PART: f64 = 0.95;
 
@@ -31,6 +36,15 @@
 }
 
 impl Refusal {
+    /// Refuses a request under which servers ended.
+    pub(crate) fn stopped(cause: &'static str) -> Self {
+        let come_back = match cause {
+            guard::REJECTED => REJECTED_RETURN,
+            _ => SUSPECTED_RETURN,
+        };
+        refuse(cause, come_back)
+    }
+
     pub(crate) fn out_of_tries() -> Self {
         Self {
             cause: "no further send is allowed",
--- a/crates/edge/src/poison/fingerprint.rs
+++ b/crates/edge/src/poison/fingerprint.rs
@@ -1,12 +1,16 @@
 //! Which request it is, whatever attempt brings it.
 
 use std::fmt;
+use std::str::FromStr;
 
 use bytes::Bytes;
 use heatherknot_http::RequestHead;
+use heatherknot_types::hash;
 use http::HeaderName;
 use http::header::{AUTHORIZATION, HOST};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use sha2::{Digest, Sha256};
+use snafu::Snafu;
 
 /// The bytes of the digest that are kept. Finding another request with a given fingerprint takes
 /// 2^128 tries.
@@ -73,6 +77,51 @@
         let whole = digest.finalize();
         Self(std::array::from_fn(|n| whole[n]))
     }
+
+    /// Gives its bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// A text that is no fingerprint.
+#[derive(Debug, Snafu)]
+#[snafu(display("'{text}' is no fingerprint: {KEPT} bytes as hexadecimal digits are expected"))]
+pub struct NoFingerprint {
+    text: String,
+}
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, NoFingerprint> {
+        let digits = text.len() == 2 * KEPT && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
+        let number = number.ok_or_else(|| NoFingerprint { text: text.into() })?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
+
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
+
+/// Gives a number for a request's method, host, path and query, at hardly any cost. Anybody can
+/// make two requests with the same one.
+pub fn hash_head(head: &RequestHead) -> u64 {
+    let target = head.uri.path_and_query();
+    let target = target.map_or("", |target| target.as_str());
+    let host = header(head, &HOST).unwrap_or_default();
+    hash::rendezvous(&[head.method.as_str().as_bytes(), host], target)
 }
 
 fn header<'a>(head: &'a RequestHead, name: &HeaderName) -> Option<&'a [u8]> {
--- a/crates/edge/src/poison/mod.rs
+++ b/crates/edge/src/poison/mod.rs
@@ -1,8 +1,21 @@
 //! Requests that end the backend servers that run them.
 //!
 //! Such a request, a poison message or query of death, does harm far beyond its own: each end
-//! takes along what else ran there, and some seconds of a server. [`fingerprint`] tells whether
-//! two attempts are the same request, [`crash`] whether a server ended under one.
+//! takes along what else ran there, and some seconds of a server. It comes again with another
+//! identifier at any VM, so what one VM learns of it all must know:
+//!
+//! - [`fingerprint`] tells whether two attempts are the same request, [`crash`] whether a server
+//!   ended under one;
+//! - [`suspects`] holds the cases and says which are rejected;
+//! - [`guard`] decides at each send whether the request may go;
+//! - [`exchange`] tells other VMs, [`rows`] keeps rejected requests in the platform's store.
 
 pub(crate) mod crash;
+pub(crate) mod exchange;
 pub mod fingerprint;
+pub(crate) mod guard;
+pub(crate) mod rows;
+mod state;
+pub mod suspects;
+
+pub use state::Poison;
--- /dev/null
+++ b/crates/edge/src/poison/state.rs
@@ -0,0 +1,155 @@
+//! One VM's part in finding out requests that end servers.
+
+use std::cell::{Ref, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use heatherknot_http::Flag;
+use heatherknot_types::prelude::*;
+use log::{info, warn};
+
+use super::fingerprint::Fingerprint;
+use super::suspects::{Case, EndId, Origin, Standing, Subject, Suspects};
+
+/// One VM's part in finding out requests that end servers.
+pub struct Poison {
+    timer: Timer,
+    suspects: RefCell<Suspects>,
+    /// Suspected requests that this VM has at a server.
+    under_way: RefCell<HashSet<Fingerprint>>,
+    news: RefCell<Flag>,
+    verdict: RefCell<Flag>,
+}
+
+/// Counts a suspected request as under way for as long as it lives.
+pub(crate) struct UnderWay {
+    poison: Rc<Poison>,
+    fingerprint: Fingerprint,
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let mut under_way = self.poison.under_way.borrow_mut();
+        under_way.remove(&self.fingerprint);
+    }
+}
+
+impl Poison {
+    /// Makes the part of a VM that knows nothing.
+    pub fn new(timer: Timer) -> Self {
+        Self {
+            timer,
+            suspects: RefCell::default(),
+            under_way: RefCell::default(),
+            news: RefCell::default(),
+            verdict: RefCell::default(),
+        }
+    }
+
+    /// Gives the cases.
+    pub fn suspects(&self) -> Ref<'_, Suspects> {
+        self.suspects.borrow()
+    }
+
+    /// Gives an event that happens when there is news from now on.
+    pub(crate) fn next_news(&self) -> Flag {
+        let news = Flag::new();
+        *self.news.borrow_mut() = news.clone();
+        news
+    }
+
+    /// Gives an event that happens when a request is rejected, or no longer is, from now on.
+    pub(crate) fn next_verdict(&self) -> Flag {
+        let verdict = Flag::new();
+        *self.verdict.borrow_mut() = verdict.clone();
+        verdict
+    }
+
+    /// Has peers told that were not told of all news.
+    pub(crate) fn tell_again(&self) {
+        self.news.borrow().fire();
+    }
+
+    /// Counts a suspected request as under way; nothing where one like it is already.
+    pub(crate) fn begin(self: &Rc<Self>, fingerprint: Fingerprint) -> Option<UnderWay> {
+        let is_first = self.under_way.borrow_mut().insert(fingerprint);
+        is_first.then(|| UnderWay {
+            poison: Rc::clone(self),
+            fingerprint,
+        })
+    }
+
+    /// Takes in that a server ended under a request.
+    pub(crate) fn note_end(&self, subject: &Subject, end: EndId) {
+        let is_news = self.change(&subject.fingerprint, |suspects, now| {
+            suspects.note_end(subject, end, now)
+        });
+        if is_news {
+            self.tell_again();
+        }
+    }
+
+    /// Takes in that a request ran and its server lived.
+    pub(crate) fn note_clean_run(&self, fingerprint: &Fingerprint) {
+        if self.change(fingerprint, |suspects, now| {
+            suspects.clear(fingerprint, now)
+        }) {
+            info!(fingerprint:% = fingerprint; "a suspected request ran and its server lived");
+            self.tell_again();
+        }
+    }
+
+    /// Takes in what another VM, or the store, knows of a case.
+    pub(crate) fn take(&self, case: &Case, origin: Origin) {
+        let fingerprint = &case.subject.fingerprint;
+        if self.change(fingerprint, |suspects, now| {
+            suspects.take(case, origin, now)
+        }) {
+            self.tell_again();
+        }
+    }
+
+    /// Forgets a case that the store no longer holds.
+    pub(crate) fn remove(&self, fingerprint: &Fingerprint) {
+        self.suspects.borrow_mut().remove(fingerprint);
+    }
+
+    /// Forgets cases that are too old to count.
+    pub(crate) fn forget(&self) {
+        let now = self.timer.now();
+        self.suspects.borrow_mut().forget(now);
+    }
+
+    /// Changes a case, and tells in the log where that decides whether the request is rejected.
+    fn change(
+        &self,
+        fingerprint: &Fingerprint,
+        change: impl FnOnce(&mut Suspects, Millis) -> bool,
+    ) -> bool {
+        let now = self.timer.now();
+        let mut suspects = self.suspects.borrow_mut();
+        let before = suspects.standing(fingerprint);
+        let is_news = change(&mut suspects, now);
+        let after = suspects.standing(fingerprint);
+        let Some(held) = suspects.get(fingerprint).filter(|_| before != after) else {
+            return is_news;
+        };
+        let subject = &held.case.subject;
+        let account = subject.account.as_ref().map_or("", |name| name.as_str());
+        let ends = held.case.ends.len();
+        match (before, after) {
+            (_, Standing::Rejected) => {
+                warn!(fingerprint:% = fingerprint, route:% = subject.route, account, ends, from:? = held.origin;
+                    "a request is rejected from now on: servers ended under it");
+                self.verdict.borrow().fire();
+            }
+            (Standing::Rejected, _) => {
+                warn!(fingerprint:% = fingerprint, route:% = subject.route, account, from:? = held.origin;
+                    "a request is no longer rejected");
+                self.verdict.borrow().fire();
+            }
+            _ => {}
+        }
+        is_news
+    }
+}
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -40,6 +40,8 @@
     Spread,
     /// Requests sent ahead are handled side by side.
     Ahead,
+    /// Requests under which servers ended are suspected, and rejected after three ends.
+    Poison,
 }
 
 /// Which mechanisms are on.
--- a/crates/edge/tests/fingerprint.rs
+++ b/crates/edge/tests/fingerprint.rs
@@ -50,7 +50,7 @@
     let again = Attempt {
         headers: &[
             ("request-id", "2"),
-            ("request-deadline-ms", "500"),
+            ("accept-language", "fr"),
             ("user-agent", "b"),
             ("host", "shots.example"),
         ],
--- /dev/null
+++ b/crates/edge/tests/suspects.rs
@@ -0,0 +1,162 @@
+//! What VMs hold of requests under which servers ended.
+
+use heatherknot_edge::poison::fingerprint::Fingerprint;
+use heatherknot_edge::poison::suspects::{
+    Case, ENDS_TO_REJECT, EndId, Origin, Standing, Subject, Suspects,
+};
+use heatherknot_test_support::property;
+use heatherknot_types::prelude::*;
+
+const NOW: Millis = Millis(1_000);
+const DAY: u64 = 24 * 3_600_000;
+
+fn subject(number: u128) -> Subject {
+    let fingerprint: Fingerprint = format!("{number:032x}")
+        .parse()
+        .expect("hexadecimal digits");
+    Subject {
+        fingerprint,
+        head: number as u64,
+        route: "r-1".into(),
+        account: None,
+    }
+}
+
+fn case(number: u128, epoch: u32, ends: &[u64]) -> Case {
+    Case {
+        subject: subject(number),
+        epoch,
+        ends: ends.iter().copied().map(EndId).collect(),
+    }
+}
+
+fn with_ends(number: u128, ends: usize) -> Suspects {
+    let mut suspects = Suspects::default();
+    for end in 0..ends as u64 {
+        suspects.note_end(&subject(number), EndId(end), NOW);
+    }
+    suspects
+}
+
+#[test]
+fn a_request_is_rejected_after_three_ends() {
+    for ends in 0..=ENDS_TO_REJECT + 1 {
+        let standing = with_ends(1, ends).standing(&subject(1).fingerprint);
+
+        let expected = match ends {
+            0 => Standing::Unknown,
+            1 | 2 => Standing::Suspected(ends),
+            _ => Standing::Rejected,
+        };
+        assert_eq!(standing, expected);
+    }
+}
+
+/// A server's end that several VMs saw counts several times.
+#[test]
+fn one_end_counts_once_whoever_tells_of_it() {
+    let mut suspects = with_ends(1, 1);
+
+    let is_news = suspects.take(&case(1, 0, &[0]), Origin::Domain, NOW);
+
+    assert!(!is_news);
+    assert_eq!(
+        suspects.standing(&subject(1).fingerprint),
+        Standing::Suspected(1)
+    );
+}
+
+/// A request that ran without harm is rejected for ends before that, which a late word brings back.
+#[test]
+fn a_clean_run_voids_the_ends_before_it() {
+    let mut suspects = with_ends(1, 2);
+
+    suspects.clear(&subject(1).fingerprint, NOW);
+    let is_news = suspects.take(&case(1, 0, &[7, 8, 9]), Origin::Elsewhere, NOW);
+
+    assert!(!is_news);
+    assert_eq!(
+        suspects.standing(&subject(1).fingerprint),
+        Standing::Unknown
+    );
+}
+
+/// VMs that hear the same words in another order reject different requests.
+#[test]
+fn the_order_of_words_and_their_number_make_no_difference() {
+    property::check()
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .for_each(|words| {
+            let words: Vec<Case> = words
+                .iter()
+                .map(|(epoch, one, two)| {
+                    let mut ends = [u64::from(one % 4), u64::from(two % 4)];
+                    ends.sort_unstable();
+                    case(1, u32::from(epoch % 3), &ends)
+                })
+                .collect();
+            let hear = |words: &mut dyn Iterator<Item = &Case>| {
+                let mut suspects = Suspects::default();
+                words.for_each(|word| {
+                    suspects.take(word, Origin::Domain, NOW);
+                });
+                suspects
+                    .get(&subject(1).fingerprint)
+                    .map(|held| held.case.clone())
+            };
+
+            let once = hear(&mut words.iter());
+            let backwards_twice = hear(&mut words.iter().rev().chain(words.iter()));
+
+            assert_eq!(once, backwards_twice);
+        });
+}
+
+/// Somebody who brings ever new requests gets those forgotten that were found out, or all memory.
+#[test]
+fn ever_new_requests_push_no_rejected_one_out_and_take_bounded_room() {
+    let mut suspects = with_ends(1, ENDS_TO_REJECT);
+
+    for number in 2..20_000 {
+        suspects.note_end(&subject(number), EndId(number as u64), NOW);
+    }
+
+    assert_eq!(
+        suspects.standing(&subject(1).fingerprint),
+        Standing::Rejected
+    );
+    assert!(suspects.all().count() <= 1_100);
+    assert!(!suspects.knows_head(2), "what is forgotten costs no look");
+}
+
+#[test]
+fn ends_count_for_a_day() {
+    let mut suspects = with_ends(1, ENDS_TO_REJECT);
+
+    suspects.forget(NOW + Millis(DAY - 1));
+    assert_eq!(
+        suspects.standing(&subject(1).fingerprint),
+        Standing::Rejected
+    );
+    suspects.forget(NOW + Millis(DAY));
+
+    assert!(suspects.is_empty());
+}
+
+#[test]
+fn a_case_comes_back_from_its_text() {
+    let told = Case {
+        subject: Subject {
+            account: Some("north".into()),
+            ..subject(5)
+        },
+        ..case(5, 2, &[1, 2, u64::MAX])
+    };
+
+    let text = serde_json::to_string(&told).expect("it serialises");
+
+    assert_eq!(
+        serde_json::from_str::<Case>(&text).expect("it is one"),
+        told
+    );
+}
--- a/crates/http/src/kept.rs
+++ b/crates/http/src/kept.rs
@@ -99,6 +99,17 @@
         (is_whole && !self.state.is_lost.get()).then(|| chunks.clone())
     }
 
+    /// Reads what was not read yet, where its length is told and all of it can be kept.
+    pub async fn read_rest(&self) {
+        if !self.len.is_some_and(|len| self.state.has_room(len)) {
+            return;
+        }
+        let Some(mut body) = self.take() else {
+            return;
+        };
+        while let Some(Ok(_)) = body.next_chunk().await {}
+    }
+
     /// Gives the body from its first byte on, or nothing where a part that was sent before is not
     /// kept any more, or an earlier send still reads it.
     pub fn take(&self) -> Option<Body> {
@@ -115,6 +126,12 @@
 }
 
 impl State {
+    /// Says whether a body of `len` bytes can be kept, of which some may be already.
+    fn has_room(&self, len: u64) -> bool {
+        let kept: u64 = self.chunks.borrow().iter().map(self::len).sum();
+        self.room.used.get() + len.saturating_sub(kept) <= self.room.limit
+    }
+
     fn keep(&self, chunk: &Bytes) {
         if self.is_lost.get() {
             return;
