--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -45,6 +45,10 @@
     Losses,
     /// Shows what daemons know of client accounts.
     Accounts,
+    /// Lists requests under which servers ended.
+    Rejected,
+    /// Releases rejected requests.
+    Release,
 }
 
 /// How a command is written.
@@ -73,10 +77,11 @@
 const REPLAY: &[Opt] = &[Opt::Policy, Opt::Compare, Opt::Charts];
 
 const TRACE: &[Opt] = &[Opt::Around];
+const RELEASE: &[Opt] = &[Opt::DryRun, Opt::Holder];
 
 /// The most logs that one story is told from, and its identifier.
 const MAX_LOGS: usize = 1_025;
-/// The most daemons that one run asks for accounts.
+/// The most daemons that one run asks.
 const MAX_DAEMONS: usize = 1_024;
 /// The most traces that one run replays.
 const MAX_TRACES: usize = 256;
@@ -101,7 +106,7 @@
 }
 
 /// Every command, in the order of the help.
-pub static COMMANDS: [CommandSpec; 20] = [
+pub static COMMANDS: [CommandSpec; 22] = [
     spec(
         Command::Get,
         "get",
@@ -262,6 +267,22 @@
         &[],
         "Show limits, requests and what is admitted of each client account, as daemons know it; ADDRESS is a daemon's for metrics.",
     ),
+    spec(
+        Command::Rejected,
+        "rejected",
+        "ADDRESS...",
+        (1, MAX_DAEMONS),
+        &[],
+        "List the requests under which backend servers ended, and which are rejected for it; ADDRESS is a daemon's for metrics.",
+    ),
+    spec(
+        Command::Release,
+        "release",
+        "FINGERPRINT|route=NAME|all ADDRESS...",
+        (2, MAX_DAEMONS),
+        RELEASE,
+        "Let rejected requests run again; the first daemon that answers tells the others. The key is the deployment's secret.",
+    ),
 ];
 
 impl Command {
--- a/crates/cli/src/ops/accounts.rs
+++ b/crates/cli/src/ops/accounts.rs
@@ -5,22 +5,20 @@
 
 use heatherknot_edge::daemon::ACCOUNTS_PATH;
 use heatherknot_edge::quota::status::AccountStatus;
-use heatherknot_http::{Body, Pool, PoolConfig, RequestHead, Response, SendOptions};
+use heatherknot_http::{Body, RequestHead};
 use heatherknot_types::prelude::*;
-use http::{Method, StatusCode, Uri};
+use http::{Method, Uri};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use serde::Serialize;
 use snafu::ResultExt;
 
-use crate::error::{CliError, RefusedSnafu, StartSnafu, UnreachedSnafu, UnreadableSnafu};
+use super::metrics_address;
+use crate::error::{CliError, StartSnafu, UnreachedSnafu};
 use crate::exit::Exit;
 use crate::parse::Invocation;
 use crate::report::Report;
 use crate::text;
 
-/// The longest answer, in bytes: 200 for each of 40,000 accounts.
-const MAX_ANSWER: usize = 8 << 20;
-
 /// What one daemon knows of an account.
 #[derive(Debug, Serialize)]
 struct Row {
@@ -34,7 +32,7 @@
 /// The head of a failure domain knows what all VMs are asked for; another VM knows only what it
 /// admits. So a row that tells what is asked goes before one that does not.
 pub fn accounts(invocation: &Invocation) -> Result<Report, CliError> {
-    let addresses = addresses(&invocation.args)?;
+    let addresses = metrics_address::parse_all(&invocation.args)?;
     let timeout = invocation.options.timeout()?;
     let builder = RuntimeBuilder::<LegacyDriver>::new();
     let mut runtime = builder.enable_timer().build().context(StartSnafu)?;
@@ -50,17 +48,6 @@
         .fold(report, |report, cause| report.with_note(cause)))
 }
 
-fn addresses(args: &[String]) -> Result<Vec<SocketAddr>, CliError> {
-    let parse = |text: &String| {
-        let wrong = |_| {
-            let message = format!("ADDRESS: found `{text}`, expected one such as 10.1.0.18:7215");
-            CliError::usage(message)
-        };
-        text.parse().map_err(wrong)
-    };
-    args.iter().map(parse).collect()
-}
-
 async fn ask_all(addresses: &[SocketAddr], timeout: Millis) -> (Vec<Row>, Vec<String>) {
     let (mut rows, mut failed) = (Vec::new(), Vec::new());
     for address in addresses {
@@ -76,30 +63,8 @@
 }
 
 async fn ask(address: SocketAddr, timeout: Millis) -> Result<Vec<AccountStatus>, CliError> {
-    let clock = Clock::system();
-    let options = SendOptions {
-        deadline: Some(clock.now() + timeout),
-        idempotent: true,
-        new_connection: false,
-    };
-    let pool = Pool::new(address, PoolConfig::default(), clock);
     let head = RequestHead::new(Method::GET, Uri::from_static(ACCOUNTS_PATH));
-    let response = pool.send(head, Body::empty(), options).await;
-    let response = response.map_err(|error| CliError::Unreached {
-        causes: format!("{address}: {error}"),
-    })?;
-    read(address, response).await
-}
-
-async fn read(peer: SocketAddr, response: Response) -> Result<Vec<AccountStatus>, CliError> {
-    if response.status != StatusCode::OK {
-        let error = response.status.to_string();
-        return RefusedSnafu { peer, error }.fail();
-    }
-    let unreadable = |problem: String| UnreadableSnafu { peer, problem }.build();
-    let body = response.body.collect(MAX_ANSWER).await;
-    let body = body.map_err(|error| unreadable(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| unreadable(error.to_string()))
+    metrics_address::ask(address, head, Body::empty(), timeout).await
 }
 
 /// Gives one row for each account: of the daemon that knows most of it.
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -5,7 +5,9 @@
 mod key;
 mod logs;
 mod losses;
+mod metrics_address;
 mod read;
+mod rejected;
 mod replay;
 mod report;
 mod trace;
@@ -35,6 +37,8 @@
         Command::Trace => return trace::trace(invocation),
         Command::Losses => return losses::losses(invocation),
         Command::Accounts => return accounts::accounts(invocation),
+        Command::Rejected => return rejected::rejected(invocation),
+        Command::Release => return rejected::release(invocation, env),
         _ => {}
     }
     let servers = invocation.options.servers(env.servers.as_deref())?;
--- /dev/null
+++ b/crates/cli/tests/rejected.rs
@@ -0,0 +1,100 @@
+//! `heatherknot rejected` and `heatherknot release` against daemons' metrics addresses.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+
+use heatherknot_cli::exit::Exit;
+use heatherknot_http::{Flag, Limits, Request, Response, serve};
+use heatherknot_test_support::runtime::block_on;
+use http::StatusCode;
+use serde_json::{Value as Json, json};
+use support::{cli, json_of};
+
+const FINGERPRINT: &str = "00112233445566778899aabbccddeeff";
+
+/// What a daemon was asked for: the path, the operator's word and the body.
+type Asked = Arc<Mutex<Vec<(String, String, String)>>>;
+
+/// Starts what answers like a daemon's metrics address, until the test's process ends.
+fn daemon(page: Json) -> (SocketAddr, Asked) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let asked = Asked::default();
+    let heard = Arc::clone(&asked);
+    std::thread::spawn(move || {
+        block_on(async move {
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let handler = Rc::new(move |req: Request| {
+                let (page, heard) = (page.to_string(), Arc::clone(&heard));
+                let path = req.head.path().to_owned();
+                let word = req.head.headers.get("authorization");
+                let word = word.map_or("", |v| v.to_str().unwrap()).to_owned();
+                Box::pin(async move {
+                    let body = req.body.collect(1 << 16).await.unwrap();
+                    let body = String::from_utf8(body.to_vec()).unwrap();
+                    heard.lock().unwrap().push((path, word, body));
+                    Response::json(StatusCode::OK, page)
+                }) as _
+            });
+            serve(listener, handler, Limits::default(), Flag::new()).await;
+        });
+    });
+    (address, asked)
+}
+
+fn case(is_rejected: bool) -> Json {
+    json!({
+        "fingerprint": FINGERPRINT, "is_rejected": is_rejected, "route": "r-1",
+        "account": "north", "ends": 3, "changed_ms_ago": 4_000, "written_s": 1_000,
+        "written_by": "vm-2", "until_s": 87_400,
+    })
+}
+
+#[test]
+fn what_several_daemons_know_is_one_row() {
+    let daemons = [daemon(json!([case(true)])), daemon(json!([case(true)]))];
+    let [one, other] = daemons.map(|(address, _)| address.to_string());
+
+    let shown = cli(&[], &["rejected", &one, &other]);
+    let json = cli(&[], &["rejected", "--json", &one, &other]);
+
+    assert_eq!(shown.exit, Exit::Ok);
+    let line = shown.out.lines().find(|line| line.starts_with(FINGERPRINT));
+    let cells: Vec<&str> = line.unwrap().split_whitespace().collect();
+    assert_eq!(cells[1..5], ["rejected", "r-1", "north", "3"]);
+    assert_eq!(cells.last(), Some(&"2"));
+    assert_eq!(json_of(&json)[0]["daemons"].as_array().unwrap().len(), 2);
+}
+
+#[test]
+fn a_release_names_the_operator_and_never_shows_the_secret() {
+    let (address, asked) = daemon(json!([case(true)]));
+    let address = address.to_string();
+
+    let released = cli(&[], &["release", "route=r-1", &address, "--holder", "olga"]);
+    let tried = cli(&[], &["release", FINGERPRINT, &address, "--dry-run"]);
+
+    assert_eq!(released.exit, Exit::Ok);
+    assert!(released.out.starts_with("1 released"));
+    assert!(tried.out.starts_with("1 would be released"));
+    let asked = asked.lock().unwrap();
+    let (path, word, body) = &asked[0];
+    let body: Json = serde_json::from_str(body).unwrap();
+    assert_eq!(path, "/rejected/release");
+    assert!(word.starts_with("Bearer ") && !word.contains("secret"));
+    assert_eq!(body["which"]["route"], "r-1");
+    assert_eq!(body["operator"], "olga");
+    assert!(asked[1].2.contains("\"dry_run\":true"));
+}
+
+#[test]
+fn what_is_no_fingerprint_is_said_with_what_was_expected() {
+    let finished = cli(&[], &["release", "abc", "127.0.0.1:9"]);
+
+    assert_eq!(finished.exit, Exit::Usage);
+    assert!(finished.err.contains("'abc' is no fingerprint"));
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -88,6 +88,8 @@
     pub homes: Homes,
     /// Shows that a request was handed over by a VM of this deployment.
     pub handed_token: String,
+    /// By which operators release rejected requests.
+    pub release_token: String,
     /// This VM's part in keeping to the quotas of client accounts.
     pub quota: Rc<Quota>,
     /// This VM's part in finding out requests that end servers.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::homes::Homes;
 use crate::metrics::EdgeMetrics;
 use crate::poison::Poison;
+use crate::poison::status::{REJECTED_PATH, RELEASE_PATH, RELEASE_PURPOSE};
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
 use crate::quota::{exchange, status};
@@ -214,6 +215,7 @@
         kept_bodies: KeepRoom::new(cfg.kept_bodies_bytes()),
         homes: Homes::default(),
         handed_token: secret.token(HANDED_PURPOSE),
+        release_token: secret.token(RELEASE_PURPOSE),
         quota,
         poison,
         refused_lines: RefCell::default(),
@@ -451,15 +453,19 @@
     })
 }
 
-/// Answers on the metrics address: what is known of client accounts, or the metrics.
+/// Answers on the metrics address: what is known of client accounts, of rejected requests, or the
+/// metrics.
 fn metrics_handler(cx: &Rc<EdgeContext>) -> Handler {
     let cx = Rc::clone(cx);
     Rc::new(move |req| {
-        let response = match req.head.path() {
-            ACCOUNTS_PATH => accounts_page(&cx),
-            _ => metrics_page(&cx),
-        };
-        Box::pin(std::future::ready(response))
+        let cx = Rc::clone(&cx);
+        Box::pin(async move {
+            match req.head.path() {
+                ACCOUNTS_PATH => accounts_page(&cx),
+                REJECTED_PATH | RELEASE_PATH => poison::status::answer(&cx, req).await,
+                _ => metrics_page(&cx),
+            }
+        })
     })
 }
 
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -72,7 +72,7 @@
 }
 
 /// Compares two tokens in a time that doesn't tell how much of them is the same.
-fn is_same(one: &str, other: &str) -> bool {
+pub(crate) fn is_same(one: &str, other: &str) -> bool {
     let pairs = one.bytes().zip(other.bytes());
     one.len() == other.len() && pairs.fold(0, |differs, (a, b)| differs | (a ^ b)) == 0
 }
--- a/crates/edge/src/poison/mod.rs
+++ b/crates/edge/src/poison/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod guard;
 pub(crate) mod rows;
 mod state;
+pub mod status;
 pub mod suspects;
 pub mod told;
 
--- a/crates/edge/src/poison/rows.rs
+++ b/crates/edge/src/poison/rows.rs
@@ -25,7 +25,7 @@
 /// Rows that one look writes at most.
 const MOST_AT_ONCE: usize = 8;
 /// How long a row is kept, in seconds of Unix time.
-const KEPT_FOR_S: u64 = 24 * 3_600;
+pub(crate) const KEPT_FOR_S: u64 = 24 * 3_600;
 
 /// What the store holds of a request that is rejected, or was and is released.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -37,6 +37,16 @@
     pub at_s: u64,
     /// The VM that wrote it.
     pub by: VmName,
+    /// The operator who released it, where one did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub released_by: Option<String>,
+}
+
+/// Gives the row of a request, as this VM's copy of the store has it.
+pub(crate) fn row_of(cx: &EdgeContext, fingerprint: &Fingerprint) -> Option<Row> {
+    let mirror = cx.feed.mirror();
+    let value = mirror.get(&format!("{ROW_KEYS}{fingerprint}"))?;
+    serde_json::from_slice(value).ok()
 }
 
 /// Has rows of the store taken in as they come.
@@ -83,6 +93,7 @@
     for Due { case, over } in due(cx) {
         let key = format!("{ROW_KEYS}{}", case.subject.fingerprint);
         let row = Row {
+            released_by: cx.poison.releaser(&case.subject.fingerprint),
             case,
             at_s: unix_s(),
             by: cx.cfg.vm.clone(),
@@ -111,9 +122,7 @@
     let suspects = cx.poison.suspects();
     let due = suspects.all().filter(is_mine).filter_map(|held| {
         let key = format!("{ROW_KEYS}{}", held.case.subject.fingerprint);
-        let row = mirror.get(&key);
-        let row = row.and_then(|value| serde_json::from_slice::<Row>(value).ok());
-        let is_due = match &row {
+        let is_due = match row_of(cx, &held.case.subject.fingerprint) {
             None => suspects.standing(&held.case.subject.fingerprint) == Standing::Rejected,
             Some(row) => row.case.epoch < held.case.epoch,
         };
--- a/crates/edge/src/poison/state.rs
+++ b/crates/edge/src/poison/state.rs
@@ -1,7 +1,7 @@
 //! One VM's part in finding out requests that end servers.
 
 use std::cell::{Ref, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use heatherknot_http::Flag;
@@ -19,6 +19,8 @@
     key: u64,
     suspects: RefCell<Suspects>,
     clean_runs: RefCell<CleanRuns>,
+    /// The operators who released requests here, until the store has it.
+    released: RefCell<HashMap<Fingerprint, String>>,
     /// Suspected requests that this VM has at a server.
     under_way: RefCell<HashSet<Fingerprint>>,
     news: RefCell<Flag>,
@@ -46,6 +48,7 @@
             key,
             clean_runs: RefCell::default(),
             suspects: RefCell::default(),
+            released: RefCell::default(),
             under_way: RefCell::default(),
             news: RefCell::default(),
             verdict: RefCell::default(),
@@ -116,6 +119,20 @@
         }
     }
 
+    /// Has an operator release a request.
+    pub(crate) fn release(&self, fingerprint: &Fingerprint, operator: &str) {
+        let operator = operator.to_owned();
+        self.released.borrow_mut().insert(*fingerprint, operator);
+        self.change(fingerprint, |suspects, now| {
+            suspects.clear(fingerprint, now)
+        });
+    }
+
+    /// Gives the operator who released a request here, once.
+    pub(crate) fn releaser(&self, fingerprint: &Fingerprint) -> Option<String> {
+        self.released.borrow_mut().remove(fingerprint)
+    }
+
     /// Takes in what another VM, or the store, knows of a case.
     pub(crate) fn take(&self, case: &Case, origin: Origin) {
         let subject = &case.subject;
