Have a panic in the handling of a request end that request alone

What a caller would see: a request whose handling panics ends the daemon with all that it was working on; brought again, it ends the next one. The task of a panicking request unwound through the runtime. Both handlers contain it now, answer 502 and log it; the home of a request that panics there declines nothing further.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -2,9 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use futures_util::FutureExt;
 use heatherknot_http::{AheadRule, Flag, Handler, KeepRoom, Limits, PoolConfig, Response, serve};
 use heatherknot_peer::{
     Membership, MembershipContext, MembershipHooks, MembershipOptions, MethodTable, PeerContext,
@@ -416,12 +418,22 @@
 
 fn request_handler(cx: &Rc<EdgeContext>) -> Handler {
     let cx = Rc::clone(cx);
-    Rc::new(move |req| Box::pin(forward::handle(Rc::clone(&cx), req)))
+    Rc::new(move |req| Box::pin(contain(forward::handle(Rc::clone(&cx), req))))
 }
 
 fn handed_handler(cx: &Rc<EdgeContext>) -> Handler {
     let cx = Rc::clone(cx);
-    Rc::new(move |req| Box::pin(hand_over::handle(Rc::clone(&cx), req)))
+    Rc::new(move |req| Box::pin(contain(hand_over::handle(Rc::clone(&cx), req))))
+}
+
+/// Has a panic in the handling of a request end that request alone. It would end the process, all
+/// that the VM was working on, and the next VM to which the caller brings the request.
+async fn contain(handling: impl Future<Output = Response>) -> Response {
+    let handled = AssertUnwindSafe(handling).catch_unwind().await;
+    handled.unwrap_or_else(|_| {
+        log::error!("the handling of a request panicked");
+        reply::unknown("its handling failed")
+    })
 }
 
 fn ready_handler(cx: &Rc<EdgeContext>) -> Handler {
