Have a request end servers in the soak, beside its kills, pauses and lost stores

Eight servers of a route of their own end under one request, are back under other names 2.5 s later, and a caller brings the request to any daemon all the while. Judged: no more than three attempts reach a server later than 4 s after the third end.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -8,6 +8,8 @@
 mod callers;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/mortal.rs"]
+mod mortal;
 #[path = "../../../platform/tests/support/mod.rs"]
 mod support;
 
@@ -15,6 +17,7 @@
 
 use callers::Callers;
 use fleet::Fleet;
+use mortal::Bringer;
 
 /// Seeds that failed once, with what was wrong; each is played in every run.
 const FAILED_ONCE: &[(u64, &str)] = &[
@@ -60,6 +63,7 @@
     let mut fleet = Fleet::start(seed);
     fleet.until_served();
     let callers = Callers::start(&fleet, seed);
+    let bringer = Bringer::start(fleet.addresses(), seed);
     let began = Instant::now();
     while began.elapsed() < FAULTS_FOR {
         fleet.strike(&mut rng);
@@ -72,6 +76,7 @@
         fleet.step();
         std::thread::sleep(Duration::from_millis(100));
     }
+    bringer.stop();
     let mut broken = fleet.broken();
     if !fleet.all_serve() {
         broken.push(format!(
--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -8,6 +8,7 @@
 
 use serde_json::json;
 
+use crate::mortal::{self, Mortals};
 use crate::support::caller::{Connection, new_id};
 use crate::support::daemon::{Listening, settings};
 use crate::support::proxy::{Passage, Proxy};
@@ -71,6 +72,7 @@
     seed: u64,
     store: FakeStore,
     servers: Vec<Server>,
+    mortals: Mortals,
     vms: Vec<Vm>,
     version: u32,
     broken: Vec<String>,
@@ -89,6 +91,7 @@
         let servers: Vec<Server> = (0..SERVERS).map(|n| server(seed, n)).collect();
         let mut fleet = Self {
             seed,
+            mortals: Mortals::start(&store, DOMAINS),
             store,
             servers,
             vms: Vec::new(),
@@ -117,6 +120,7 @@
 
     /// Gives the promises that were broken so far.
     pub fn broken(&mut self) -> Vec<String> {
+        self.broken.extend(self.mortals.broken());
         std::mem::take(&mut self.broken)
     }
 
@@ -187,7 +191,11 @@
 
     fn configure(&mut self) {
         self.version += 1;
-        let routes = [("/a/", "safe", "gallery"), ("/once/", "unsafe", "gallery")];
+        let routes = [
+            ("/a/", "safe", "gallery"),
+            ("/once/", "unsafe", "gallery"),
+            (mortal::PREFIX, "safe", mortal::SERVICE),
+        ];
         let accounts = ACCOUNTS.map(|(name, key, per_second)| TestAccount {
             per_second,
             burst: per_second,
@@ -236,6 +244,7 @@
 
     /// Ends pauses that are over, and starts processes that have ended.
     pub fn step(&mut self) {
+        self.mortals.step(&self.store);
         for number in 0..DAEMONS {
             let vm = &mut self.vms[number];
             if vm.paused_until.is_some_and(|until| Instant::now() >= until) {
