Keep the story of values out of comments, and split three long functions

Comments in edge told what something once took or what a value was worth; the reason stays. No decision changes.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -189,11 +189,7 @@
     distance::register(&mut methods);
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&world)));
     exchange::register(&mut methods, &quota);
-    let secret = Secret::new(cfg.secret.as_bytes());
-    let key = hash::digest(secret.token(QUICK_PURPOSE).as_bytes());
-    let poison = Rc::new(Poison::new(timer.clone(), key));
-    poison::exchange::register(&mut methods, &poison, &cfg.domain);
-    poison::rows::follow(&feed, &poison);
+    let poison = make_poison(&cfg, &timer, &feed, &mut methods);
     let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
     Ok(Rc::new(EdgeContext {
         region,
@@ -216,8 +212,8 @@
         routes: RefCell::default(),
         kept_bodies: KeepRoom::new(cfg.kept_bodies_bytes()),
         homes: Homes::default(),
-        handed_token: secret.token(HANDED_PURPOSE),
-        release_token: secret.token(RELEASE_PURPOSE),
+        handed_token: token(&cfg, HANDED_PURPOSE),
+        release_token: token(&cfg, RELEASE_PURPOSE),
         quota,
         poison,
         refused_lines: RefCell::default(),
@@ -233,6 +229,24 @@
     }))
 }
 
+fn make_poison(
+    cfg: &EdgeConfig,
+    timer: &Timer,
+    feed: &Rc<Feed>,
+    methods: &mut MethodTable,
+) -> Rc<Poison> {
+    let key = hash::digest(token(cfg, QUICK_PURPOSE).as_bytes());
+    let poison = Rc::new(Poison::new(timer.clone(), key));
+    poison::exchange::register(methods, &poison, &cfg.domain);
+    poison::rows::follow(feed, &poison);
+    poison
+}
+
+/// Gives a word that only holders of the deployment's secret can make.
+fn token(cfg: &EdgeConfig, purpose: &str) -> String {
+    Secret::new(cfg.secret.as_bytes()).token(purpose)
+}
+
 fn own_region(cfg: &EdgeConfig) -> Result<RegionName, StartError> {
     let domain = &cfg.domain;
     let region = cfg.domains.get(domain).cloned();
@@ -383,9 +397,6 @@
 /// Gives the pause between two tries of a store that does not answer, by a VM that is not one of
 /// its readers. A domain's leaders try about once a second, the other VMs together as often as
 /// one of those: who tries matters little, since one that succeeds tells the others.
-///
-/// With every VM trying 2.5 times a second, the calls of 295 VMs around an outage of the store cost
-/// 0.15 of what a day was worth; now 0.014.
 fn pause_alone(cx: &EdgeContext) -> Millis {
     let is_leader = cx.relay.borrow().is_leader(&cx.cfg.vm, &cx.cfg.domain);
     let vms = match is_leader {
--- a/crates/edge/src/enter.rs
+++ b/crates/edge/src/enter.rs
@@ -1,10 +1,9 @@
 //! Keeps this VM's entry in the store, and takes away those of VMs that are gone.
 //!
-//! An entry has no lease: a lease for each VM, extended every two seconds, made more calls on the
-//! store than all else together once there were hundreds of VMs. Peers notice within seconds that
-//! a VM is gone and leave it out of look-up answers; the head of its domain then deletes its
-//! entry. A VM that comes back where it was finds its entry and writes nothing. Around a loss of
-//! power of 295 VMs, 3,710 calls in a minute became 910.
+//! An entry has no lease: extending one for each VM would be most of all calls on the store.
+//! Peers notice within seconds that a VM is gone and leave it out of look-up answers; the head of
+//! its domain then deletes its entry. A VM that comes back where it was finds its entry and writes
+//! nothing.
 
 use std::rc::Rc;
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -139,41 +139,8 @@
             .push(Sent::new(cx, call, &prospect, at, &attempt));
         let labels = [call.service.as_str(), attempt.label()];
         cx.metrics.sends.with_label_values(&labels).inc();
-        match attempt {
-            Attempt::Answer(response) => {
-                guard::note_clean_run(cx, call);
-                return response;
-            }
-            Attempt::CallerGone => {
-                tries.cause = "the caller has disconnected";
-                return reply::unknown(tries.cause);
-            }
-            Attempt::Late => {
-                tries.cause = "no answer came in time";
-                return reply::timed_out();
-            }
-            Attempt::NotSent(cause) => {
-                tries.unreached += 1;
-                tries.cause = cause;
-            }
-            Attempt::NotRun(cause) => {
-                tries.arrived += 1;
-                tries.cause = cause;
-            }
-            Attempt::Failure(response) => {
-                guard::note_clean_run(cx, call);
-                tries.note_may_have_run("the server failed");
-                tries.failure = Some(response);
-            }
-            Attempt::Unknown(cause) => {
-                tries.note_may_have_run(cause);
-                tries.failure = None;
-            }
-            Attempt::Broken(cause) => {
-                tries.note_may_have_run(cause);
-                tries.failure = None;
-                guard::look_into_break(cx, call, &prospect.upstream).await;
-            }
+        if let Some(response) = take_in(cx, call, tries, &prospect, attempt).await {
+            return response;
         }
         if tries.may_have_run > 0 && !call.route.idempotent {
             break;
@@ -182,6 +149,53 @@
     give_up(cx, call, tries, &Refusal::out_of_tries())
 }
 
+/// Takes in what came of a send; gives the answer for the caller where there is one.
+async fn take_in(
+    cx: &Rc<EdgeContext>,
+    call: &Call,
+    tries: &mut Tries,
+    prospect: &Prospect,
+    attempt: Attempt,
+) -> Option<Response> {
+    match attempt {
+        Attempt::Answer(response) => {
+            guard::note_clean_run(cx, call);
+            return Some(response);
+        }
+        Attempt::CallerGone => {
+            tries.cause = "the caller has disconnected";
+            return Some(reply::unknown(tries.cause));
+        }
+        Attempt::Late => {
+            tries.cause = "no answer came in time";
+            return Some(reply::timed_out());
+        }
+        Attempt::NotSent(cause) => {
+            tries.unreached += 1;
+            tries.cause = cause;
+        }
+        Attempt::NotRun(cause) => {
+            tries.arrived += 1;
+            tries.cause = cause;
+        }
+        Attempt::Failure(response) => {
+            guard::note_clean_run(cx, call);
+            tries.note_may_have_run("the server failed");
+            tries.failure = Some(response);
+        }
+        Attempt::Unknown(cause) => {
+            tries.note_may_have_run(cause);
+            tries.failure = None;
+        }
+        Attempt::Broken(cause) => {
+            tries.note_may_have_run(cause);
+            tries.failure = None;
+            guard::look_into_break(cx, call, &prospect.upstream).await;
+        }
+    }
+    None
+}
+
 impl Tries {
     /// Notes a send that a server may have run and to which there is no usable answer.
     pub(crate) fn note_may_have_run(&mut self, cause: &'static str) {
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -5,9 +5,6 @@
 //! which takes a round trip more, and no VM hears of a server often enough to know its load. So
 //! each server has a home in its own failure domain, to which the other VMs hand its requests:
 //! the home keeps the connections to it and knows its load.
-//!
-//! With 295 VMs and 1,617 servers the connections opened on a day of high load fell to a third,
-//! the requests served in time rose from 0.68 to 0.79.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -54,15 +54,7 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let opts = HistogramOpts::new(
-            "heatherknot_request_seconds",
-            "Time from a request's head to its answer",
-        );
-        let latency = HistogramVec::new(
-            opts.buckets(LATENCY_BUCKETS.to_vec()),
-            &["service", "outcome"],
-        )?;
-        registry.register(Box::new(latency.clone()))?;
+        let latency = register_latency(registry)?;
         let lookups = IntCounter::new("heatherknot_lookups_total", "Look-ups answered")?;
         registry.register(Box::new(lookups.clone()))?;
         Ok(Self {
@@ -108,3 +100,14 @@
         })
     }
 }
+
+fn register_latency(registry: &Registry) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::new(
+        "heatherknot_request_seconds",
+        "Time from a request's head to its answer",
+    );
+    let opts = opts.buckets(LATENCY_BUCKETS.to_vec());
+    let latency = HistogramVec::new(opts, &["service", "outcome"])?;
+    registry.register(Box::new(latency.clone()))?;
+    Ok(latency)
+}
--- a/crates/edge/src/pick.rs
+++ b/crates/edge/src/pick.rs
@@ -146,8 +146,7 @@
 ///
 /// Where nothing was heard of a server lately, its load is taken from the average of all. Held
 /// to the latency target, a VM then refuses everything as soon as the average is high, though
-/// many servers are below it. With a large fleet each VM hears seldom of a server: this took
-/// worth from 0.39 to 0.43 on days of high load with 72 VMs, and from 0.53 to 0.55 with 9.
+/// many servers are below it. With a large fleet each VM hears seldom of a server.
 fn latest(cx: &EdgeContext, call: &Call, best: &Prospect, now: Millis) -> f64 {
     let doubt = match cx.switches.has(Mechanism::Doubt) {
         true => 1.0 - best.upstream.load_trust(now),
--- a/crates/edge/src/quota/totals.rs
+++ b/crates/edge/src/quota/totals.rs
@@ -14,8 +14,7 @@
 /// less, what is admitted would swing about the limit.
 const SETTLE: f64 = 1.0;
 /// The time, in seconds, for which VMs go on admitting by the parts before, until what they admitted
-/// is known here and what follows from it is known there. With 0.2, one in a hundred drawn
-/// schedules of faults in a surge went beyond what may run in five seconds, by up to a tenth.
+/// is known here and what follows from it is known there.
 const UNDER_WAY: f64 = 0.6;
 /// The shortest span over which demand is measured.
 const SHORTEST_SPAN: Millis = Millis(300);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -2,10 +2,8 @@
 //!
 //! One VM of each failure domain in the region nearest to the store reads it. The first-ranked
 //! VM of each other domain hears from those, and all VMs of a domain from its own. Little
-//! crosses between regions then, and few calls are made on the store: the same calm day of 72 VMs took
-//! 561 instead of 862. A whole copy goes to one VM of a far domain and not to all of them. On a
-//! day of 300 VMs with a restart of all, 127 MB crossed between regions instead of 147 MB,
-//! requests included.
+//! crosses between regions then, and few calls are made on the store. A whole copy goes to one VM
+//! of a far domain and not to all of them.
 
 use std::collections::BTreeMap;
 
@@ -110,8 +108,7 @@
 /// Gives a VM's place among those of its domain: those with the widest links come first.
 ///
 /// Around a restart of all VMs the first one sends a copy of everything to each VM of its
-/// domain. Over a link of 10 Mbit/s a dozen copies of 80 KB took 0.7 s, in which all of them
-/// refused what callers sent.
+/// domain, which all of them need before they can serve.
 fn rank(vm: &VmEntry) -> (u32, u64) {
     (vm.link_mbps, hash::rendezvous(&[], vm.name.as_str()))
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -63,9 +63,8 @@
     32
 }
 
-/// Beside connections that are used again, a home knows the load of its servers. With 87 VMs and 254
-/// servers, VMs that left off at one request for each server, in peaks, sent by loads that were 22 s
-/// old: 2,233 requests a day of high load ran into their time-outs, and 485 with three.
+/// Beside connections that are used again, a home knows the load of its servers, which a VM that
+/// asks each of them seldom does not.
 fn default_hand_over_below() -> f64 {
     3.0
 }
--- a/crates/edge/src/world.rs
+++ b/crates/edge/src/world.rs
@@ -22,7 +22,7 @@
 /// Lines that are logged at most of what can't be read in one configuration.
 const MAX_REMARKS: usize = 8;
 /// Changes that come at once of which each server that joins is logged. A VM that starts reads
-/// thousands of entries; a line for each took it a third of a second of a tenth of a core.
+/// thousands of entries.
 const MAX_TOLD: usize = 64;
 /// Bytes of a cause that are logged at most. A cause repeats what it found, which anybody may
 /// have written.
