Show a harmless request that is rejected where most servers end at once, in a test that fails

Half of all servers and more end within a second; the caller brings it again before the pause after two ends is known at the next VM. The model's runs tell all seeds that broke, not the first one.

--- a/crates/edge/tests/poison.rs
+++ b/crates/edge/tests/poison.rs
@@ -148,25 +148,27 @@
     }
 }
 
+/// Says what a played scenario broke, if anything.
+fn broken(played: &Played) -> Option<String> {
+    let further = played.deadly.iter().map(|deadly| deadly.further(STABLE));
+    if let Some(further) = further.max().filter(|further| *further > FURTHER) {
+        return Some(format!("a deadly request was sent {further} times further"));
+    }
+    let rejected = played.rejected_for_good;
+    (rejected > 0).then(|| format!("{rejected} harmless requests are rejected for good"))
+}
+
+/// Plays all seeds of a scenario, and fails with those that broke anything.
 fn play_all(name: &str, scenario: impl Fn(u64) -> Scenario) -> Summary {
     let mut summary = Summary::default();
+    let mut broke = Vec::new();
     for seed in seeds(&scenario(1)) {
-        let scenario = scenario(seed);
-        let played = play(&scenario);
-        for deadly in &played.deadly {
-            let further = deadly.further(STABLE);
-            assert!(
-                further <= FURTHER,
-                "{name}, seed {seed}: sent {further} times further"
-            );
-        }
-        assert_eq!(
-            played.rejected_for_good, 0,
-            "{name}, seed {seed}: harmless requests are rejected for good"
-        );
+        let played = play(&scenario(seed));
+        broke.extend(broken(&played).map(|what| (seed, what)));
         summary.add(&played);
     }
     summary.tell(name);
+    assert!(broke.is_empty(), "{name}, by seed: {broke:?}");
     summary
 }
 
@@ -191,6 +193,23 @@
     });
 }
 
+/// A harmless request is at three servers that end within a second, as half of all do.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn a_harmless_request_is_not_rejected_where_most_servers_end_at_once() {
+    let alone = Scenario {
+        deadly: 0,
+        patience: 4,
+        ..with_troubles(small(457))
+    };
+
+    for scenario in [with_troubles(small(357)), alone] {
+        let played = play(&scenario);
+
+        assert_eq!(broken(&played), None, "seed {}", scenario.seed);
+    }
+}
+
 /// The verdict is lost, or late, beside kills, cuts, a lost store; or harmless requests are taken
 /// for deadly ones as servers end beside them.
 #[test]
