Pass the first copy of all keys on through relays, and wait for it

Cause: at a start each head sent the full copy to all VMs of its domain, 127 at 985 VMs, within calls that end after 1.1 s, and a VM without a copy after 2 s read the whole store itself: dozens of calls and megabytes for each of hundreds of VMs, which kept the store's link busy. The copy grows with the servers and the number of receivers with the VMs of a domain. Change: the first ranked VMs of a domain, as many as the square root of its size, pass the copy on. A VM waits for it while a peer answers that it waits too or is about to send, ten seconds at most, and the first copy has a timeout of its own. Tests: no VM is asked for the first copy by more than three times the square root of its domain's VMs (250 each; every VM by the head before); a VM does not read the store while a peer is about to send.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -39,6 +39,8 @@
 /// the others' entries, reads them and asks one of those VMs, which takes a little over a second in
 /// remote regions.
 const PEER_WAIT_AT_START: Millis = Millis(2_000);
+/// The longest such wait while peers answer that they wait too, or send their copy.
+const MAX_PEER_WAIT: Millis = Millis(10_000);
 /// How long a VM that reaches the store substitutes for watchers that receive nothing.
 const SUBSTITUTE_PERIOD: Millis = Millis(5_000);
 /// The longest backoff between two attempts to reach a store that does not answer.
@@ -60,6 +62,8 @@
     /// Whether this VM's own last store call failed. Updates may still arrive from peers.
     store_unreachable: Cell<bool>,
     settled_at: Cell<Millis>,
+    /// When this process started.
+    started_at: Millis,
     /// When this VM reads all keys itself if it has received no update by then.
     await_peers_until: Cell<Millis>,
     is_watcher: RefCell<Option<Rc<dyn Fn() -> bool>>>,
@@ -85,9 +89,10 @@
         routing_state: Rc<RefCell<RoutingState>>,
         settle_time: Millis,
     ) -> Rc<Self> {
-        let await_peers_until = Cell::new(timer.now() + PEER_WAIT_AT_START);
+        let started_at = timer.now();
         Rc::new(Self {
-            await_peers_until,
+            started_at,
+            await_peers_until: Cell::new(started_at + PEER_WAIT_AT_START),
             store,
             timer,
             mirror: RefCell::default(),
@@ -172,6 +177,21 @@
         self.last_update_at.get().is_none() && self.timer.now() < self.await_peers_until.get()
     }
 
+    /// Extends the wait for peers to `span` from now, because a peer is about to send its copy, or
+    /// waits for one itself.
+    ///
+    /// With thousands of backend servers a full read takes dozens of calls. If hundreds of VMs that
+    /// start together gave up on their peers, their reads would keep the store's link busy for so
+    /// long that the peers' copies came no sooner either.
+    pub fn extend_peer_wait(&self, span: Millis) {
+        if !self.is_awaiting_peers() {
+            return;
+        }
+        let until = (self.timer.now() + span).min(self.started_at + MAX_PEER_WAIT);
+        self.await_peers_until
+            .set(until.max(self.await_peers_until.get()));
+    }
+
     /// Returns the interval at which this VM checks whether it should call the store or a peer.
     pub fn idle_interval(&self) -> Millis {
         if self.is_awaiting_peers() {
--- a/crates/edge/src/feed_topology.rs
+++ b/crates/edge/src/feed_topology.rs
@@ -22,6 +22,9 @@
 pub struct FeedTopology {
     /// The leaders of each domain, the head first.
     leaders: BTreeMap<DomainName, Vec<VmName>>,
+    /// The VMs of each domain that pass the first copy of all keys on to its other VMs, the head
+    /// first.
+    relays: BTreeMap<DomainName, Vec<VmName>>,
     /// The VMs that watch the store, the first-ranked one first.
     watchers: Vec<VmName>,
 }
@@ -32,8 +35,15 @@
         let mut ranked: Vec<&VmEntry> = vms.iter().collect();
         ranked.sort_by_key(|vm| std::cmp::Reverse(rank(vm)));
         let nearest = nearest_region(vms);
+        let mut vms_in_domain: BTreeMap<&DomainName, usize> = BTreeMap::new();
+        vms.iter()
+            .for_each(|vm| *vms_in_domain.entry(&vm.domain).or_default() += 1);
         let mut topology = Self::default();
         for vm in ranked {
+            let relays = topology.relays.entry(vm.domain.clone()).or_default();
+            if relays.len() < relay_count(vms_in_domain[&vm.domain]) {
+                relays.push(vm.name.clone());
+            }
             let leaders = topology.leaders.entry(vm.domain.clone()).or_default();
             let is_near = nearest.is_none_or(|nearest| vm.region == *nearest);
             if leaders.is_empty() && is_near {
@@ -86,6 +96,26 @@
         }
     }
 
+    /// Returns the VMs that `vm` of `domain` asks for its first copy of all keys, in order of
+    /// preference.
+    ///
+    /// If the head sent it to every VM of a large domain, its link would be busy for seconds after a
+    /// restart of all VMs. A VM therefore asks one of the relays, and the relays ask the leaders.
+    pub fn first_copy_sources(&self, vm: &VmName, domain: &DomainName) -> Vec<VmName> {
+        let sources = self.sources(vm, domain);
+        let relays = self.relays.get(domain).map_or(&[][..], Vec::as_slice);
+        if relays.contains(vm) || self.is_leader(vm, domain) {
+            return sources;
+        }
+        let rank = |relay: &&VmName| hash::rendezvous(&[vm.as_str().as_bytes()], relay.as_str());
+        let relay = relays.iter().min_by_key(rank).cloned();
+        let others = sources
+            .into_iter()
+            .filter(|source| Some(source) != relay.as_ref());
+        let others: Vec<VmName> = others.collect();
+        relay.into_iter().chain(others).collect()
+    }
+
     /// Returns the VMs that `vm` of `domain` asks for changes, in order of preference.
     ///
     /// The leaders of a domain ask the watchers of the store, each in its own order, which spreads
@@ -107,10 +137,16 @@
     }
 }
 
+/// Returns the number of a domain's VMs that pass the first copy on. The head sends it to as many
+/// VMs as each of those does.
+fn relay_count(vms: usize) -> usize {
+    (vms as f64).sqrt().ceil() as usize
+}
+
 /// Returns the sort key of a VM within its domain; the widest link ranks first.
 ///
-/// After a restart of all VMs the head sends a full copy to every VM of its domain, and each of
-/// them needs it before it can serve.
+/// After a restart of all VMs the first-ranked ones send full copies to the other VMs of their
+/// domain, and each of those needs it before it can serve.
 fn rank(vm: &VmEntry) -> (u32, u64) {
     (vm.link_mbps, hash::rendezvous(&[], vm.name.as_str()))
 }
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -30,6 +30,11 @@
 const MAX_HOLD: Millis = Millis(400);
 /// Timeout of a request for changes.
 const CALL_TIMEOUT: Millis = Millis(1_100);
+/// Timeout of a request for the first copy of all keys, which takes longer than a few changes. One
+/// that timed out would be sent again from its first byte.
+const FIRST_COPY_TIMEOUT: Millis = Millis(2_500);
+/// How much longer a VM waits for its first copy after a peer has answered that it has none yet.
+const PEER_WAIT_EXTENSION: Millis = Millis(1_500);
 /// Interval before the next request after one that returned nothing useful.
 const RETRY_INTERVAL: Millis = Millis(200);
 /// The same interval while this VM's own copy is stale, so that the store counts as unavailable.
@@ -161,7 +166,10 @@
         let is_stale = match request_changes(&cx, source.as_ref()).await {
             Ok(Some(age)) if age < MAX_PEER_AGE => continue,
             // When VMs start together, the peer may not have read the store yet.
-            Ok(None) if cx.feed.is_awaiting_peers() => false,
+            Ok(None) if cx.feed.is_awaiting_peers() => {
+                cx.feed.extend_peer_wait(PEER_WAIT_EXTENSION);
+                false
+            }
             Ok(_) => {
                 back_off_unless_leader(&cx);
                 true
@@ -259,7 +267,12 @@
     source: Option<&VmName>,
 ) -> Result<Option<Millis>, PeerError> {
     let after = cx.feed.mirror().revision();
-    let opts = CallOptions::idempotent(CALL_TIMEOUT);
+    let timeout = match cx.feed.is_awaiting_peers() {
+        true => FIRST_COPY_TIMEOUT,
+        false => CALL_TIMEOUT,
+    };
+    cx.feed.extend_peer_wait(timeout);
+    let opts = CallOptions::idempotent(timeout);
     let answer: Changes = match source {
         // Just after a start the VMs' entries are known, but heartbeats have not found any peer
         // yet.
@@ -301,10 +314,11 @@
 fn next_source(cx: &EdgeContext, avoided: &mut HashMap<VmName, Millis>) -> Option<VmName> {
     let now = cx.now();
     avoided.retain(|_, until| *until > now);
-    let sources = cx
-        .feed_topology
-        .borrow()
-        .sources(&cx.cfg.vm, &cx.cfg.domain);
+    let topology = Rc::clone(&cx.feed_topology.borrow());
+    let sources = match cx.feed.is_awaiting_peers() {
+        true => topology.first_copy_sources(&cx.cfg.vm, &cx.cfg.domain),
+        false => topology.sources(&cx.cfg.vm, &cx.cfg.domain),
+    };
     let has_stale_data = cx.feed.age().is_some() && !cx.feed.is_fresh();
     let may_ask_any = cx.feed.is_store_unreachable() || has_stale_data;
     select_source(sources, avoided, || {
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -253,3 +253,40 @@
         avoided.insert(elsewhere.into(), Millis(4_000));
     }
 }
+
+/// Creates the feed of a VM that is not a watcher and has just started.
+fn starting_feed(clock: &TestClock) -> Rc<Feed> {
+    let routing_state = Rc::new(RefCell::new(routing_state(&clock.clock())));
+    let feed = Feed::new(silent_store(), clock.timer(), routing_state, Millis(2_500));
+    feed.set_watch_policy(|| false, || None);
+    feed
+}
+
+/// Guards against hundreds of VMs that start together and all read the store in full, because their
+/// peers' copies take longer than usual.
+#[test]
+fn a_vm_does_not_read_the_store_while_a_peer_is_about_to_send_its_copy() {
+    let clock = TestClock::default();
+    let feed = starting_feed(&clock);
+
+    clock.advance(1_900);
+    feed.extend_peer_wait(Millis(1_500));
+    clock.advance(1_000);
+    assert!(!feed.should_watch_store(), "a peer has answered");
+    clock.advance(1_000);
+    assert!(feed.should_watch_store(), "no peer answers any more");
+}
+
+/// Guards against VMs that wait for each other's copies forever.
+#[test]
+fn the_wait_for_peers_is_bounded() {
+    let clock = TestClock::default();
+    let feed = starting_feed(&clock);
+
+    for _ in 0..15 {
+        feed.extend_peer_wait(Millis(1_500));
+        clock.advance(1_000);
+    }
+
+    assert!(feed.should_watch_store());
+}
--- a/crates/edge/tests/feed_topology.rs
+++ b/crates/edge/tests/feed_topology.rs
@@ -168,3 +168,43 @@
     after.requests = "127.0.0.1:9".parse().expect("an address");
     assert!(!before.advertises_same(&after));
 }
+
+/// Guards against a head that sends the first copy of all keys to every VM of a large domain after a
+/// restart of all VMs.
+#[test]
+fn no_vm_sends_the_first_copy_to_more_than_a_few_others() {
+    const VMS_PER_DOMAIN: usize = 250;
+    let vms: Vec<VmEntry> = (0..4)
+        .flat_map(|domain| {
+            (0..VMS_PER_DOMAIN).map(move |n| {
+                let wide = if n < 20 { 200 } else { 20 };
+                VmEntry {
+                    link_mbps: wide,
+                    ..vm(
+                        &format!("d{domain}-{n}"),
+                        &format!("d{domain}"),
+                        "north",
+                        None,
+                    )
+                }
+            })
+        })
+        .collect();
+    let topology = FeedTopology::new(&vms);
+
+    let mut asked: std::collections::BTreeMap<VmName, usize> = Default::default();
+    for vm in &vms {
+        let sources = topology.first_copy_sources(&vm.name, &vm.domain);
+        assert!(!sources.contains(&vm.name));
+        *asked.entry(sources[0].clone()).or_default() += 1;
+    }
+
+    let limit = 3 * (VMS_PER_DOMAIN as f64).sqrt() as usize;
+    let most = asked.values().max().expect("VMs ask others");
+    assert!(
+        *most <= limit,
+        "a VM is asked by {most} others, {limit} allowed"
+    );
+    let is_wide = |name: &VmName| vms.iter().any(|vm| vm.name == *name && vm.link_mbps == 200);
+    assert!(asked.keys().all(is_wide), "{asked:?}");
+}
