Roll out a service's version on an operator's order

Cause: the order was ignored, no status was written, and servers of a new version got their full part of the requests from the moment they registered. Change: the adapter decodes order and version and encodes the status. A version that was rolled back gets nothing again.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -47,6 +47,8 @@
     Accounts,
     /// Lists requests during which backend servers ended.
     Rejected,
+    /// Lists the rollouts of services' versions.
+    Rollouts,
     /// Allows rejected requests to run again.
     Release,
 }
@@ -106,7 +108,7 @@
 }
 
 /// Every command, in the order of [`Command`], which is also that of the help.
-pub static COMMANDS: [CommandSpec; 22] = [
+pub static COMMANDS: [CommandSpec; 23] = [
     spec(
         Command::Get,
         "get",
@@ -275,6 +277,14 @@
         &[],
         "List the requests under which backend servers ended, and which are rejected for it; ADDRESS is a daemon's for metrics.",
     ),
+    spec(
+        Command::Rollouts,
+        "rollouts",
+        "ADDRESS...",
+        (1, MAX_DAEMONS),
+        &[],
+        "List the latest rollout of each service with its stage, the outcomes at both versions and the reason of its verdict; ADDRESS is a daemon's for metrics.",
+    ),
     spec(
         Command::Release,
         "release",
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -10,6 +10,7 @@
 mod rejected;
 mod replay;
 mod report;
+mod rollouts;
 mod trace;
 mod wait;
 
@@ -38,6 +39,7 @@
         Command::Losses => return losses::losses(invocation),
         Command::Accounts => return accounts::accounts(invocation),
         Command::Rejected => return rejected::rejected(invocation),
+        Command::Rollouts => return rollouts::rollouts(invocation),
         Command::Release => return rejected::release(invocation, env),
         _ => {}
     }
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -10,6 +10,8 @@
 mod fleet;
 #[path = "soak/mortal.rs"]
 mod mortal;
+#[path = "soak/rollouts.rs"]
+mod rollouts;
 #[path = "../../../platform/tests/support/mod.rs"]
 mod support;
 
@@ -18,6 +20,7 @@
 use callers::Callers;
 use fleet::Fleet;
 use mortal::Bringer;
+use rollouts::RolloutCaller;
 
 /// Seeds that failed once, with what was wrong; each is played in every run.
 const FAILED_ONCE: &[(u64, &str)] = &[
@@ -64,6 +67,7 @@
     fleet.until_served();
     let callers = Callers::start(&fleet, seed);
     let bringer = Bringer::start(fleet.addresses(), seed);
+    let rollout_caller = RolloutCaller::start(fleet.addresses(), seed);
     let began = Instant::now();
     while began.elapsed() < FAULTS_FOR {
         fleet.strike(&mut rng);
@@ -72,11 +76,12 @@
     }
     fleet.heal();
     let healed = Instant::now();
-    while !fleet.all_serve() && healed.elapsed() < RECOVERY {
+    while !(fleet.all_serve() && fleet.has_rollout_ended()) && healed.elapsed() < RECOVERY {
         fleet.step();
         std::thread::sleep(Duration::from_millis(100));
     }
     bringer.stop();
+    rollout_caller.stop();
     let mut broken = fleet.broken();
     if !fleet.all_serve() {
         broken.push(format!(
--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 use crate::mortal::{self, Mortals};
+use crate::rollouts::{self, Rollout};
 use crate::support::caller::{Connection, new_id};
 use crate::support::daemon::{ListenAddresses, settings};
 use crate::support::proxy::{Proxy, ProxyMode};
@@ -73,6 +74,7 @@
     store: FakeStore,
     servers: Vec<Server>,
     mortals: Mortals,
+    rollout: Rollout,
     vms: Vec<Vm>,
     version: u32,
     broken: Vec<String>,
@@ -92,6 +94,7 @@
         let mut fleet = Self {
             seed,
             mortals: Mortals::start(&store, DOMAINS),
+            rollout: Rollout::start(&store, DOMAINS, seed),
             store,
             servers,
             vms: Vec::new(),
@@ -121,9 +124,15 @@
     /// Gives the promises that were broken so far.
     pub fn broken(&mut self) -> Vec<String> {
         self.broken.extend(self.mortals.broken());
+        self.broken.extend(self.rollout.broken());
         std::mem::take(&mut self.broken)
     }
 
+    /// Returns whether the rollout has ended.
+    pub fn has_rollout_ended(&self) -> bool {
+        self.rollout.has_ended()
+    }
+
     /// Waits until every daemon serves.
     pub fn until_served(&self) {
         wait_until("all daemons serve", || self.all_serve());
@@ -195,6 +204,7 @@
             ("/a/", "safe", "gallery"),
             ("/once/", "unsafe", "gallery"),
             (mortal::PREFIX, "safe", mortal::SERVICE),
+            (rollouts::PREFIX, "safe", rollouts::SERVICE),
         ];
         let accounts = ACCOUNTS.map(|(name, key, per_second)| TestAccount {
             per_second,
@@ -245,6 +255,7 @@
     /// Ends pauses that are over, and starts processes that have ended.
     pub fn step(&mut self) {
         self.mortals.step(&self.store);
+        self.rollout.step(&self.store);
         for number in 0..DAEMONS {
             let vm = &mut self.vms[number];
             if vm.paused_until.is_some_and(|until| Instant::now() >= until) {
--- a/crates/edge/examples/choice_bench.rs
+++ b/crates/edge/examples/choice_bench.rs
@@ -27,6 +27,7 @@
         service: "maps".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: "north-1".into(),
+        version: None,
         slots: 3,
         leaving: false,
         cold_remaining: Millis(0),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,6 +11,8 @@
 
 use crate::call::Call;
 use crate::context::EdgeContext;
+use crate::rollout::evidence::RequestKind;
+use crate::rollout::state::{ObservedSend, SendResult};
 use crate::selection::Candidate;
 use crate::switches::Mechanism;
 use crate::upstream::{InFlightGuard, ServerLoad};
@@ -61,6 +63,20 @@
             SendOutcome::CallerDisconnected => "caller-gone",
         }
     }
+
+    /// Returns what the outcome says about the version of the server.
+    fn as_evidence(&self) -> SendResult {
+        match self {
+            SendOutcome::Answer(_) => SendResult::Answered,
+            SendOutcome::Failure(_) | SendOutcome::Broken(_) | SendOutcome::TimedOut => {
+                SendResult::Failed
+            }
+            SendOutcome::NotRun(_)
+            | SendOutcome::NotSent(_)
+            | SendOutcome::Unknown(_)
+            | SendOutcome::CallerDisconnected => SendResult::Unrelated,
+        }
+    }
 }
 
 /// Sends a request to the backend server of `candidate`.
@@ -71,6 +87,7 @@
     let cancelled = call.cancelled.wait();
     let call = &*call;
     let sent = cx.now();
+    let observed = observe(cx, call, candidate);
     let exchange = pin!(exchange(cx, call, body, candidate));
     let outcome = match select(exchange, cancelled).await {
         Either::Left((outcome, _)) => outcome,
@@ -83,9 +100,25 @@
     ) {
         record_unanswered(cx, call, candidate, sent);
     }
+    if let Some(observed) = observed {
+        observed.finish(outcome.as_evidence());
+    }
     outcome
 }
 
+/// Starts to observe a request as evidence on the version of its server, if a rollout of its
+/// service is in progress.
+fn observe(cx: &EdgeContext, call: &Call, candidate: &Candidate) -> Option<ObservedSend> {
+    let upstream = &candidate.upstream;
+    if call.is_isolated || upstream.is_cold(cx.now()) {
+        return None;
+    }
+    let is_cached = upstream.likely_caches(call.object, cx.now());
+    let is_local = upstream.region == cx.region;
+    let kind = RequestKind::new(&call.route.name, is_cached, is_local);
+    cx.rollouts.observe(upstream, kind, candidate.has_free_slot)
+}
+
 /// Records that a request sent at `sent` has had no response until now.
 ///
 /// A server that becomes slow no longer responds in time, so its responses alone would never show
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -18,6 +18,7 @@
 use crate::poison::suspects::placement_hash;
 use crate::presence;
 use crate::quota::meter::{OverLimit, Verdict};
+use crate::rollout::state::VersionChoice;
 use crate::switches::Mechanism;
 
 /// Longest request body, in bytes, that is read completely before it is sent. Longer bodies are
@@ -49,6 +50,8 @@
     /// Whether servers crashed while running this request. If so, `object` is derived from its
     /// fingerprint and the request may go to any region.
     pub(crate) is_isolated: bool,
+    /// Versions of the service that may run the request.
+    pub(crate) versions: VersionChoice,
     /// Backend server that another VM ranked first before it handed the request over to this VM.
     pub(crate) assigned_server: Option<UpstreamName>,
     /// When the request head had been read.
@@ -132,6 +135,8 @@
     pub(crate) fn isolate(&mut self, fingerprint: &Fingerprint) {
         self.object = placement_hash(fingerprint);
         self.is_isolated = true;
+        // A crash under it would count against a target version.
+        self.versions = VersionChoice::InUse;
     }
 
     /// Returns the fingerprint that identifies the request across the caller's attempts.
@@ -320,6 +325,12 @@
     let requested = requested.and_then(|v| v.to_str().ok()?.trim().parse().ok());
     let timeout = requested.map_or(DEFAULT_TIMEOUT, Millis).min(route.timeout);
     let object = object_hash(cx, &head);
+    let versions = match &handed {
+        Some(header) => cx.rollouts.choice_of_peer(&service, &header.server),
+        None => cx
+            .rollouts
+            .choose(&service, object, attempt_hash(cx, &head)),
+    };
     if handed.is_none() {
         state.recent_requests.borrow_mut().add(started, 1.0);
         cx.route(&route.name).record_request(object, started);
@@ -342,6 +353,7 @@
         body,
         object,
         is_isolated: false,
+        versions,
         assigned_server: handed.map(|header| header.server),
         started,
         deadline: started + timeout,
@@ -402,3 +414,12 @@
         None => cx.rng.borrow_mut().u64(..),
     }
 }
+
+/// Returns a hash that differs between all attempts of callers, or a random number if the request
+/// has no identifier.
+fn attempt_hash(cx: &EdgeContext, head: &RequestHead) -> u64 {
+    match request_id(cx, head) {
+        "" => cx.rng.borrow_mut().u64(..),
+        id => hash::digest(id.as_bytes()),
+    }
+}
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -10,6 +10,7 @@
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::hand_over;
+use crate::rollout::state::VersionChoice;
 use crate::selection::{self, Candidate, Locality, SelectionParams, select};
 use crate::switches::Mechanism;
 use crate::upstream::Upstream;
@@ -185,32 +186,52 @@
     if !warm.is_empty() {
         return warm;
     }
-    let cold = eligible(cx, call, tried, now, |_| true);
+    let choices = version_choices(cx, call, tried).into_iter();
+    let cold = choices.flat_map(|choice| eligible(cx, call, tried, choice, now, |_| true));
     let may = |u: &Rc<Upstream>| claim_cold_send(cx, call, u, now);
     cold.into_iter().find(may).into_iter().collect()
 }
 
+/// Returns the versions that a request may be sent to, the preferred one first.
+fn version_choices(cx: &EdgeContext, call: &Call, tried: &[UpstreamName]) -> Vec<VersionChoice> {
+    let first = match tried.is_empty() {
+        true => call.versions,
+        false => cx.rollouts.choose_for_retry(&call.service, call.versions),
+    };
+    match first {
+        VersionChoice::InUse => vec![VersionChoice::InUse],
+        VersionChoice::Target => vec![VersionChoice::Target, VersionChoice::InUse],
+    }
+}
+
 fn warm_candidates(
     cx: &EdgeContext,
     call: &Call,
     tried: &[UpstreamName],
     now: Millis,
 ) -> Vec<Rc<Upstream>> {
-    eligible(cx, call, tried, now, |u| !u.is_cold(now))
+    let choices = version_choices(cx, call, tried).into_iter();
+    let warm = choices.map(|choice| eligible(cx, call, tried, choice, now, |u| !u.is_cold(now)));
+    let mut non_empty = warm.filter(|servers| !servers.is_empty());
+    non_empty.next().unwrap_or_default()
 }
 
-/// Returns the servers matching `wanted` that may run the request and are reachable.
+/// Returns the servers matching `wanted` of the versions `choice` that may run the request and are
+/// reachable.
 fn eligible(
     cx: &EdgeContext,
     call: &Call,
     tried: &[UpstreamName],
+    choice: VersionChoice,
     now: Millis,
     wanted: impl Fn(&Upstream) -> bool,
 ) -> Vec<Rc<Upstream>> {
+    let has_version = cx.rollouts.filter(&call.service, choice);
     let routing_state = cx.routing_state.borrow();
     let all = routing_state.upstreams(&call.service);
     let eligible = all.iter().filter(|u| {
         u.accepts_requests()
+            && has_version(u)
             && wanted(u)
             && !routing_state.is_evacuated(&u.domain)
             && call.regions.allows(&u.region)
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -24,6 +24,7 @@
 use crate::presence::{self, VmEntries, VmEntry};
 use crate::quota::state::Quota;
 use crate::region_counts::RegionCounts;
+use crate::rollout::state::Rollouts;
 use crate::round_trip::RegionRoundTrips;
 use crate::routing_state::RoutingState;
 use crate::service_times::ServiceTimes;
@@ -94,6 +95,8 @@
     pub quota: Rc<Quota>,
     /// This VM's part in detecting requests that crash servers.
     pub poison: Rc<PoisonDetector>,
+    /// This VM's part in the rollouts of services' versions.
+    pub rollouts: Rc<Rollouts>,
     /// Round trips to other regions.
     pub round_trips: RegionRoundTrips,
     /// Limits the log lines about requests over their accounts' limits.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -32,6 +32,8 @@
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
 use crate::quota::{exchange, status};
+use crate::rollout::state::Rollouts;
+use crate::rollout::status::ROLLOUTS_PATH;
 use crate::round_trip::RegionRoundTrips;
 use crate::routing_state::RoutingState;
 use crate::settings::{Bounds, EdgeConfig};
@@ -39,7 +41,7 @@
 use crate::upstream::{self, IDLE_TIMEOUT};
 use crate::{
     call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
-    presence, reply, round_trip, stop,
+    presence, reply, rollout, round_trip, stop,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -195,6 +197,9 @@
     round_trip::register(&mut methods);
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&routing_state)));
     exchange::register(&mut methods, &quota);
+    let rollouts = Rc::new(Rollouts::new(timer.clone(), Rc::clone(&routing_state)));
+    rollout::exchange::register(&mut methods, &rollouts, &cfg.domain);
+    rollout::exchange::subscribe(&feed, &rollouts, dialect.keys.rollout_prefix);
     let poison = make_poison(&cfg, &timer, &feed, &mut methods);
     let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
     Ok(Rc::new(EdgeContext {
@@ -222,6 +227,7 @@
         release_token: derive_token(&cfg, RELEASE_PURPOSE),
         quota,
         poison,
+        rollouts,
         over_limit_log: RefCell::default(),
         round_trips: RegionRoundTrips::default(),
         metrics,
@@ -276,6 +282,7 @@
         upstream_pool(dialect),
         timer.clock.clone(),
     );
+    let routing_state = routing_state.with_canary_share(Bounds::from(&cfg.bounds).canary_share);
     Rc::new(RefCell::new(routing_state))
 }
 
@@ -391,6 +398,8 @@
     monoio::spawn(exchange::run(Rc::clone(cx)));
     monoio::spawn(poison::exchange::run(Rc::clone(cx)));
     monoio::spawn(poison::records::run(Rc::clone(cx)));
+    monoio::spawn(rollout::exchange::run(Rc::clone(cx)));
+    monoio::spawn(rollout::writer::run(Rc::clone(cx)));
     monoio::spawn(tick(Rc::clone(cx)));
     cx.membership.run(cx.net.clone());
 }
@@ -508,6 +517,7 @@
             match req.head.path() {
                 ACCOUNTS_PATH => accounts_page(&cx),
                 REJECTED_PATH | RELEASE_PATH => poison::status::handle(&cx, req).await,
+                ROLLOUTS_PATH => rollout::status::page(&cx),
                 _ => metrics_page(&cx),
             }
         })
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -10,6 +10,7 @@
 
 use crate::catalog::Catalog;
 use crate::registration::Registration;
+use crate::rollout::record::{RolloutOrder, RolloutStatus};
 
 /// Decodes a value of the store, or returns why it can't be decoded.
 pub type Decoder<T> = Rc<dyn Fn(&str, &Bytes) -> Result<T, String>>;
@@ -31,6 +32,10 @@
     pub catalog: Decoder<Catalog>,
     /// Decodes a registration from its key and value.
     pub registration: Decoder<Registration>,
+    /// Decodes a rollout order from its key and value.
+    pub rollout_order: Decoder<RolloutOrder>,
+    /// Encodes the status of a rollout.
+    pub rollout_status: Rc<dyn Fn(&RolloutStatus) -> Bytes>,
     /// Extracts a request's object, by which sticky routes choose backend servers.
     pub object: ObjectReader,
     /// Returns whether a request is the platform's readiness check.
@@ -72,6 +77,10 @@
     /// Prefix of the keys that name evacuated failure domains, whose backend servers get no
     /// requests.
     pub evacuation_prefix: &'static str,
+    /// Prefix of the keys of rollout orders; the service follows.
+    pub rollout_prefix: &'static str,
+    /// Prefix of the keys to which the status of rollouts is written; the service follows.
+    pub rollout_status_prefix: &'static str,
 }
 
 /// A caller's lookup request.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod registration;
 mod reply;
 mod request_log;
+pub mod rollout;
 pub mod round_trip;
 pub mod routing_state;
 pub mod selection;
--- a/crates/edge/src/registration.rs
+++ b/crates/edge/src/registration.rs
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// The failure domain that it lies in.
     pub domain: DomainName,
+    /// Version of the software that it runs, if it reports one.
+    pub version: Option<VersionName>,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is about to shut down and takes no further requests.
--- /dev/null
+++ b/crates/edge/src/rollout/controller.rs
@@ -0,0 +1,252 @@
+//! Decides which stage of a rollout a VM has to write, and builds the record.
+//!
+//! Any head of a domain may write. They take turns: the first one writes when a stage is due, the
+//! others if nothing was written for a while. Each write requires that neither the order nor the
+//! record has changed, so that two writers, or a write that takes effect late, cannot lead to two
+//! verdicts.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use heatherknot_store::port::StoreRevision;
+use heatherknot_types::prelude::*;
+
+use super::plan::{self, Progress, Transition};
+use super::record::{RolloutRecord, Stage};
+use super::state::Rollouts;
+use super::versions::ServiceVersions;
+use crate::feed_topology::FeedTopology;
+use crate::presence::VmEntry;
+
+/// How long each head waits for the one before it to write.
+const TURN: Millis = Millis(600);
+/// Assumed age of an order when a VM receives it: a read of the watch and half a hop to a peer.
+const ORDER_AGE: Millis = Millis(400);
+/// Uptime up to which a VM may have received an order long after it was given.
+const STARTUP_TIME: Millis = Millis(5_000);
+
+/// The VMs as one VM knows them.
+pub struct FleetView<'a> {
+    /// This VM.
+    pub me: &'a VmName,
+    /// Its failure domain.
+    pub domain: &'a DomainName,
+    /// Which VMs lead the domains and watch the store.
+    pub topology: &'a FeedTopology,
+    /// The VMs that are alive.
+    pub vms: &'a [VmEntry],
+    /// The time of day, in Unix milliseconds.
+    pub unix_ms: u64,
+}
+
+/// Decides when this VM writes a stage.
+#[derive(Debug)]
+pub struct Controller {
+    /// When this process started.
+    started: Millis,
+    /// The stages that are due, and since when.
+    due_since: HashMap<(ServiceName, Stage), Millis>,
+}
+
+/// A record to be written, and what it requires.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proposal {
+    /// The service.
+    pub service: ServiceName,
+    /// The record.
+    pub record: RolloutRecord,
+    /// Required revision of the order; zero if it must not exist.
+    pub order_revision: StoreRevision,
+    /// Required revision of the present record; zero if it must not exist.
+    pub record_revision: StoreRevision,
+}
+
+impl FleetView<'_> {
+    /// Returns the names of the VMs of this VM's domain.
+    pub fn vms_in_domain(&self) -> impl Iterator<Item = &VmName> {
+        let in_domain = self.vms.iter().filter(|vm| vm.domain == *self.domain);
+        in_domain.map(|vm| &vm.name)
+    }
+
+    /// Returns the other domains.
+    pub fn other_domains(&self) -> impl Iterator<Item = &DomainName> {
+        let domains = self.topology.domains();
+        domains.filter(|domain| *domain != self.domain)
+    }
+
+    /// Returns the position of this VM among the heads of all domains, those near the store first,
+    /// or `None` if it is not one of them.
+    fn turn(&self) -> Option<u64> {
+        let topology = self.topology;
+        let domains = topology.domains();
+        let heads = domains.filter_map(|domain| topology.leaders(domain).first());
+        let (near, far): (Vec<_>, Vec<_>) = heads.partition(|vm| topology.is_watcher(vm));
+        let mut ordered = near.into_iter().chain(far);
+        ordered.position(|vm| vm == self.me).map(|at| at as u64)
+    }
+}
+
+impl Controller {
+    /// Creates the controller of a process that started at `started`.
+    pub fn new(started: Millis) -> Self {
+        Self {
+            started,
+            due_since: HashMap::new(),
+        }
+    }
+
+    /// Forgets which stages are due.
+    pub fn reset(&mut self) {
+        self.due_since.clear();
+    }
+
+    /// Returns the records that this VM has to write now.
+    pub fn proposals(&mut self, rollouts: &Rollouts, view: &FleetView<'_>) -> Vec<Proposal> {
+        let Some(turn) = view.turn() else {
+            self.reset();
+            return Vec::new();
+        };
+        let now = rollouts.now();
+        let due = rollouts.with_versions(|service, versions| {
+            let transition = self.next_transition(rollouts, view, service, versions)?;
+            Some((service.clone(), transition))
+        });
+        let is_due = |key: &(ServiceName, Stage)| {
+            due.iter()
+                .any(|(service, transition)| *service == key.0 && transition.stage == key.1)
+        };
+        self.due_since.retain(|key, _| is_due(key));
+        let delay = Millis(TURN.0 * turn);
+        let mine = due.into_iter().filter(|(service, transition)| {
+            let key = (service.clone(), transition.stage);
+            let since = *self.due_since.entry(key).or_insert(now);
+            now.since(since) >= delay
+        });
+        let mine: Vec<_> = mine.collect();
+        let proposals = mine.iter().filter_map(|(service, transition)| {
+            rollouts.with_versions_of(service, |versions| {
+                propose(service, versions, transition, view, now)
+            })
+        });
+        proposals.collect()
+    }
+
+    fn next_transition(
+        &self,
+        rollouts: &Rollouts,
+        view: &FleetView<'_>,
+        service: &ServiceName,
+        versions: &ServiceVersions,
+    ) -> Option<Transition> {
+        let now = rollouts.now();
+        let received = versions.order();
+        let collected = received.map(|order| collect(rollouts, view, service, order.revision));
+        let Collected {
+            answers,
+            undrained_vms,
+            failure,
+        } = collected.unwrap_or_default();
+        let record = versions.record();
+        plan::next_stage(&Progress {
+            order: received.map(|received| (received.revision.0, &received.order)),
+            record: record.map(|record| &record.record),
+            established: versions.established(),
+            elapsed: self.elapsed(versions, view, now).unwrap_or_default(),
+            failure: failure.as_deref(),
+            answers,
+            undrained_vms,
+            stage_age: record.map_or(Millis(0), |record| now.since(record.stage_received_at)),
+        })
+    }
+
+    /// Returns the time since the order. A VM that has received it just after its start goes by the
+    /// record's time of day, since the order may be older than its process.
+    fn elapsed(
+        &self,
+        versions: &ServiceVersions,
+        view: &FleetView<'_>,
+        now: Millis,
+    ) -> Option<Millis> {
+        let received_at = versions.order()?.received_at;
+        let steady = now.since(received_at) + ORDER_AGE;
+        let is_inherited = received_at.since(self.started) < STARTUP_TIME;
+        let record = versions.current_record().filter(|_| is_inherited);
+        let by_day = record.map_or(Millis(0), |record| {
+            Millis(view.unix_ms.saturating_sub(record.record.started_unix_ms))
+        });
+        Some(steady.max(by_day))
+    }
+}
+
+/// What this VM has collected on a rollout.
+#[derive(Default)]
+struct Collected {
+    /// Answers of the target version and of the previous one.
+    answers: (u64, u64),
+    /// Number of VMs that may still have requests at the previous version, if it is known.
+    undrained_vms: Option<usize>,
+    /// Why the target version has failed, if it has.
+    failure: Option<Rc<str>>,
+}
+
+fn collect(
+    rollouts: &Rollouts,
+    view: &FleetView<'_>,
+    service: &ServiceName,
+    order: StoreRevision,
+) -> Collected {
+    let now = rollouts.now();
+    rollouts.with_state(service, order, |state| {
+        let (target, previous) = state.totals.of_fleet().sums();
+        let here = state.totals.undrained_in_domain(view.vms_in_domain(), now);
+        let elsewhere = state.totals.undrained_elsewhere(view.other_domains(), now);
+        Collected {
+            answers: (target.requests, previous.requests),
+            undrained_vms: elsewhere.map(|count| count + here),
+            failure: state.failure.clone(),
+        }
+    })
+}
+
+/// Builds the record of a stage, or returns `None` if there is nothing to write.
+fn propose(
+    service: &ServiceName,
+    versions: &ServiceVersions,
+    transition: &Transition,
+    view: &FleetView<'_>,
+    now: Millis,
+) -> Option<Proposal> {
+    let before = versions.record().map(|record| &record.record);
+    let current = versions
+        .current_record()
+        .map(|record| record.record.clone());
+    let mut record = match (current, versions.order()) {
+        (Some(current), _) => current,
+        (None, Some(received)) => {
+            let age = now.since(received.received_at) + ORDER_AGE;
+            RolloutRecord {
+                order: received.revision.0,
+                target: received.order.target.clone(),
+                stage: transition.stage,
+                started_unix_ms: view.unix_ms.saturating_sub(age.0),
+                time_limit: received.order.time_limit,
+                rolled_back: before.map_or_else(Vec::new, |before| before.rolled_back.clone()),
+                by: view.me.clone(),
+                cause: String::new(),
+            }
+        }
+        (None, None) => before?.clone(),
+    };
+    record.stage = transition.stage;
+    record.by = view.me.clone();
+    record.cause.clone_from(&transition.cause);
+    if transition.stage == Stage::RolledBack {
+        record.roll_target_back();
+    }
+    Some(Proposal {
+        service: service.clone(),
+        record,
+        order_revision: versions.order().map_or(StoreRevision(0), |o| o.revision),
+        record_revision: versions.record().map_or(StoreRevision(0), |r| r.revision),
+    })
+}
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -12,6 +12,9 @@
 use crate::dialect::Dialect;
 use crate::mirror::Change;
 use crate::registration::Registration;
+use crate::rollout::record::{RECORD_PREFIX, RolloutRecord};
+use crate::rollout::versions::{ReceivedOrder, VersionTable};
+use crate::settings::Bounds;
 use crate::upstream::Upstream;
 
 /// Time, in addition to its configured cold time, that a cold backend server may take to report
@@ -40,6 +43,7 @@
     upstreams: HashMap<UpstreamName, Rc<Upstream>>,
     by_service: HashMap<ServiceName, Rc<Vec<Rc<Upstream>>>>,
     evacuated: BTreeSet<DomainName>,
+    versions: VersionTable,
     /// Backend servers whose entries are missing, possibly because of a store outage.
     missing: BTreeSet<UpstreamName>,
     /// Ended runs of backend servers, oldest first.
@@ -66,12 +70,21 @@
             upstreams: HashMap::new(),
             by_service: HashMap::new(),
             evacuated: BTreeSet::new(),
+            versions: VersionTable::new(Bounds::default().canary_share),
             missing: BTreeSet::new(),
             ended_runs: VecDeque::new(),
             logs_joins: true,
         }
     }
 
+    /// Sets the part of a service's requests that a bad version may get during its rollout.
+    pub fn with_canary_share(self, allowed: f64) -> Self {
+        Self {
+            versions: VersionTable::new(allowed),
+            ..self
+        }
+    }
+
     /// Returns the catalog in force.
     pub fn catalog(&self) -> Option<&Rc<Catalog>> {
         self.catalog.as_ref()
@@ -82,6 +95,19 @@
         self.by_service.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the versions of the services, and their rollouts.
+    pub fn versions(&self) -> &VersionTable {
+        &self.versions
+    }
+
+    /// Excludes the target version of a rollout, because it has failed. Returns whether this was
+    /// not known before.
+    pub fn fail_rollout(&mut self, service: &ServiceName, order: StoreRevision) -> bool {
+        let is_news = self.versions.fail(service, order);
+        self.assign_roles(service);
+        is_news
+    }
+
     /// Returns all backend servers.
     pub fn all_upstreams(&self) -> impl Iterator<Item = &Rc<Upstream>> {
         self.upstreams.values()
@@ -101,7 +127,7 @@
     /// Applies changes of the store. While `settled` is false, a missing entry may be the result of
     /// a store outage, and its backend server is kept until [`RoutingState::remove_missing`].
     pub fn apply(&mut self, changes: &[Change], settled: bool) {
-        let mut servers_changed = false;
+        let mut changed_services = BTreeSet::new();
         let before = self.upstreams.len();
         self.logs_joins = changes.len() <= MAX_LOGGED_JOINS;
         for change in changes {
@@ -110,13 +136,15 @@
                 self.apply_catalog(change);
             } else if let Some(domain) = change.key.strip_prefix(keys.evacuation_prefix) {
                 self.apply_evacuation(domain, change.current.value.is_some());
+            } else if let Some(service) = change.key.strip_prefix(keys.rollout_prefix) {
+                changed_services.extend(self.apply_rollout_order(service, change));
+            } else if let Some(service) = change.key.strip_prefix(RECORD_PREFIX) {
+                changed_services.extend(self.apply_rollout_record(service, change));
             } else if change.key.starts_with(keys.server_prefix) {
-                servers_changed |= self.apply_server(change, settled);
+                changed_services.extend(self.apply_server(change, settled));
             }
         }
-        if servers_changed {
-            self.rebuild_by_service();
-        }
+        self.servers_changed(&changed_services);
         if !self.logs_joins {
             info!(changes = changes.len(), before, servers = self.upstreams.len(); "read many entries of backend servers");
         }
@@ -155,10 +183,11 @@
         if missing.is_empty() {
             return;
         }
-        for id in missing {
-            self.remove(&id, "its entry did not come back");
-        }
-        self.rebuild_by_service();
+        let removed = missing
+            .iter()
+            .filter_map(|id| self.remove(id, "its entry did not come back"));
+        let changed_services = removed.collect();
+        self.servers_changed(&changed_services);
     }
 
     fn apply_catalog(&mut self, change: &Change) {
@@ -217,17 +246,18 @@
         }
     }
 
-    /// Applies a change of a server's entry; returns whether the set of servers changed.
-    fn apply_server(&mut self, change: &Change, settled: bool) -> bool {
+    /// Applies a change of a server's entry; returns the services whose servers changed.
+    fn apply_server(&mut self, change: &Change, settled: bool) -> BTreeSet<ServiceName> {
         let id = UpstreamName::from(&change.key[self.dialect.keys.server_prefix.len()..]);
         let Some(value) = &change.current.value else {
-            return match settled {
-                true => self.remove(&id, "its entry was removed"),
-                false => {
-                    self.missing.insert(id);
-                    false
-                }
-            };
+            if settled {
+                return self
+                    .remove(&id, "its entry was removed")
+                    .into_iter()
+                    .collect();
+            }
+            self.missing.insert(id);
+            return BTreeSet::new();
         };
         match (self.dialect.registration)(&change.key, value) {
             Ok(reg) => {
@@ -241,41 +271,49 @@
                 // takes requests, so the server is removed.
                 self.missing.remove(&id);
                 self.remove(&id, "its entry can't be read")
+                    .into_iter()
+                    .collect()
             }
         }
     }
 
-    /// Applies a valid registration; returns whether the set of servers changed.
+    /// Applies a valid registration; returns the services whose servers changed.
     ///
     /// A server that restarts under the same identifier holds no objects, may be cold and has none
     /// of the requests of its previous run. Statistics of that run would direct more work to it
     /// than it can handle. A late update of the previous run must not bring that run back.
-    fn upsert(&mut self, reg: &Registration) -> bool {
+    fn upsert(&mut self, reg: &Registration) -> BTreeSet<ServiceName> {
         let now = self.clock.now();
+        let mut changed = BTreeSet::new();
         match (self.newest_run(&reg.id), reg.started_at) {
-            (Some(_), None) => return self.remove(&reg.id, "its entry doesn't tell its start"),
+            (Some(_), None) => {
+                changed.extend(self.remove(&reg.id, "its entry doesn't tell its start"));
+                return changed;
+            }
             (Some(known), Some(started_at)) if started_at < known => {
                 info!(upstream:% = reg.id, service:% = reg.service; "ignored an entry of an earlier run");
-                return false;
+                return changed;
             }
             _ => {}
         }
         if let Some(upstream) = self.upstreams.get(&reg.id) {
-            if upstream.started_at == reg.started_at {
+            if upstream.started_at == reg.started_at && upstream.version == reg.version {
                 update_upstream(upstream, reg, now);
-                return false;
+                return changed;
             }
-            self.remove(&reg.id, "it has started again");
+            changed.extend(self.remove(&reg.id, "it has started again"));
         }
         let region = self.region_of(&reg.domain);
         let upstream = Rc::new(Upstream::new(reg, region, self.pool.clone(), &self.clock));
         update_upstream(&upstream, reg, now);
         if self.logs_joins {
+            let version = reg.version.as_ref().map_or("", VersionName::as_str);
             info!(upstream:% = reg.id, service:% = reg.service, address:% = reg.address, domain:% = reg.domain,
-                slots = reg.slots, leaving = reg.leaving, cold_ms = reg.cold_remaining.0; "backend server joined");
+                version, slots = reg.slots, leaving = reg.leaving, cold_ms = reg.cold_remaining.0; "backend server joined");
         }
         self.upstreams.insert(reg.id.clone(), upstream);
-        true
+        changed.insert(reg.service.clone());
+        changed
     }
 
     /// Returns when the newest run under an identifier started, if known.
@@ -291,10 +329,9 @@
         }
     }
 
-    fn remove(&mut self, id: &UpstreamName, why: &str) -> bool {
-        let Some(upstream) = self.upstreams.remove(id) else {
-            return false;
-        };
+    /// Removes a server; returns its service if the server was known.
+    fn remove(&mut self, id: &UpstreamName, why: &str) -> Option<ServiceName> {
+        let upstream = self.upstreams.remove(id)?;
         info!(upstream:% = id, service:% = upstream.service, why; "backend server is gone");
         upstream.leaving.set(true);
         upstream.pool.close_idle();
@@ -303,20 +340,79 @@
             self.ended_runs
                 .drain(..self.ended_runs.len().saturating_sub(MAX_ENDED_RUNS));
         }
-        true
+        Some(upstream.service.clone())
+    }
+
+    fn apply_rollout_order(&mut self, service: &str, change: &Change) -> Option<ServiceName> {
+        let service = ServiceName::from(service);
+        let Some(value) = &change.current.value else {
+            info!(service:% = service; "rollout order removed");
+            self.versions.set_order(&service, None);
+            return Some(service);
+        };
+        match (self.dialect.rollout_order)(&change.key, value) {
+            Ok(order) => {
+                info!(service:% = service, target:% = order.target, limit_ms = order.time_limit.0,
+                    revision:% = change.current.revision; "rollout order received");
+                let order = ReceivedOrder {
+                    revision: change.current.revision,
+                    order,
+                    received_at: self.clock.now(),
+                };
+                self.versions.set_order(&service, Some(order));
+                Some(service)
+            }
+            Err(cause) => {
+                warn!(key = change.key.as_str(), revision:% = change.current.revision, cause = truncated(&cause);
+                    "a rollout order is invalid; it has no effect");
+                None
+            }
+        }
     }
 
-    fn rebuild_by_service(&mut self) {
-        let mut by_service: HashMap<ServiceName, Vec<Rc<Upstream>>> = HashMap::new();
+    fn apply_rollout_record(&mut self, service: &str, change: &Change) -> Option<ServiceName> {
+        let value = change.current.value.as_ref()?;
+        let service = ServiceName::from(service);
+        match serde_json::from_slice::<RolloutRecord>(value) {
+            Ok(record) => {
+                info!(service:% = service, target:% = record.target, stage:? = record.stage, order = record.order,
+                    by:% = record.by, cause = record.cause.as_str(); "rollout stage in force");
+                let (revision, now) = (change.current.revision, self.clock.now());
+                self.versions.set_record(&service, revision, record, now);
+                Some(service)
+            }
+            Err(error) => {
+                warn!(key = change.key.as_str(), error:% = error; "failed to parse a rollout record");
+                None
+            }
+        }
+    }
+
+    /// Rebuilds what is derived from the servers of some services.
+    fn servers_changed(&mut self, services: &BTreeSet<ServiceName>) {
+        if services.is_empty() {
+            return;
+        }
+        let mut groups: HashMap<&ServiceName, Vec<Rc<Upstream>>> = HashMap::new();
         for upstream in self.upstreams.values() {
-            let group = by_service.entry(upstream.service.clone()).or_default();
-            group.push(Rc::clone(upstream));
+            if let Some(service) = services.get(&upstream.service) {
+                groups.entry(service).or_default().push(Rc::clone(upstream));
+            }
         }
-        for group in by_service.values_mut() {
+        for service in services {
+            let mut group = groups.remove(service).unwrap_or_default();
             group.sort_by(|a, b| a.id.cmp(&b.id));
+            self.versions.assign_roles(service, &group);
+            match group.is_empty() {
+                true => self.by_service.remove(service),
+                false => self.by_service.insert(service.clone(), Rc::new(group)),
+            };
         }
-        let shared = by_service.into_iter().map(|(s, group)| (s, Rc::new(group)));
-        self.by_service = shared.collect();
+    }
+
+    fn assign_roles(&mut self, service: &ServiceName) {
+        let servers = self.upstreams(service);
+        self.versions.assign_roles(service, &servers);
     }
 }
 
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -120,6 +120,8 @@
     pub retry_window_s: Option<f64>,
     /// See [`Bounds::max_lookup_ttl`], in seconds.
     pub max_lookup_ttl_s: Option<f64>,
+    /// See [`Bounds::canary_share`].
+    pub canary_share: Option<f64>,
 }
 
 impl From<&BoundsConfig> for Bounds {
@@ -136,6 +138,7 @@
             retry_slack: config.retry_slack.unwrap_or(default.retry_slack),
             retry_window: duration(config.retry_window_s, default.retry_window),
             max_lookup_ttl: duration(config.max_lookup_ttl_s, default.max_lookup_ttl),
+            canary_share: config.canary_share.unwrap_or(default.canary_share),
             store_settle_time: default.store_settle_time,
         }
     }
@@ -154,6 +157,8 @@
     pub retry_window: Millis,
     /// Longest lifetime of a lookup answer.
     pub max_lookup_ttl: Millis,
+    /// Part of a service's requests that a bad version may get during its rollout.
+    pub canary_share: f64,
     /// How long entries may still be missing after the store has come back.
     pub store_settle_time: Millis,
 }
@@ -167,6 +172,7 @@
             retry_slack: 10.0,
             retry_window: Millis(10_000),
             max_lookup_ttl: Millis(2_000),
+            canary_share: 0.1,
             store_settle_time: Millis(2_200),
         }
     }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -11,6 +11,7 @@
 use crate::ewma::{Ewma, decay};
 use crate::poison::crash::CrashProbe;
 use crate::registration::Registration;
+use crate::rollout::versions::VersionRole;
 
 /// Maximum number of objects remembered per backend server. Servers cache tens of objects at most,
 /// and a server whose object was forgotten here is merely assumed to be slower than it is.
@@ -46,6 +47,10 @@
     pub domain: DomainName,
     /// Region of the failure domain.
     pub region: RegionName,
+    /// Version of the software that it runs, if it reports one.
+    pub version: Option<VersionName>,
+    /// Which requests it may get, by its version.
+    pub role: Cell<VersionRole>,
     /// Connections to the server.
     pub pool: Pool,
     /// Number of requests that it processes concurrently.
@@ -127,6 +132,8 @@
             service: reg.service.clone(),
             domain: reg.domain.clone(),
             region,
+            version: reg.version.clone(),
+            role: Cell::default(),
             pool: Pool::new(reg.address, pool, clock.clone()),
             slots: Cell::new(reg.slots.max(1)),
             leaving: Cell::new(reg.leaving),
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod poison_model;
 pub mod quota_model;
 pub mod region_model;
+pub mod rollout_model;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -17,6 +18,7 @@
 use heatherknot_edge::dialect::{Dialect, HeaderNames, KeyNames, LookupAnswer, LookupQuery};
 use heatherknot_edge::mirror::{Change, VersionedValue};
 use heatherknot_edge::registration::Registration;
+use heatherknot_edge::rollout::record::RolloutOrder;
 use heatherknot_edge::routing_state::RoutingState;
 use heatherknot_edge::upstream::Upstream;
 use heatherknot_http::{PoolConfig, Response};
@@ -54,6 +56,7 @@
         service: "gallery".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: domain.into(),
+        version: None,
         slots: 3,
         leaving: false,
         cold_remaining: Millis(0),
@@ -150,12 +153,14 @@
     let words: Vec<&str> = text.split(' ').collect();
     let (service, domain, state, cold, started_at) = match words[..] {
         [service, domain, state, cold, _sequence] => (service, domain, state, cold, None),
-        [service, domain, state, cold, _sequence, started_at] => {
+        [service, domain, state, cold, _sequence, started_at]
+        | [service, domain, state, cold, _sequence, started_at, _] => {
             (service, domain, state, cold, Some(started_at))
         }
-        _ => return Err("not five or six words".to_owned()),
+        _ => return Err("not five to seven words".to_owned()),
     };
     let mut reg = registration(key.trim_start_matches("server/"), domain);
+    reg.version = words.get(6).map(|version| VersionName::from(*version));
     reg.service = service.into();
     reg.leaving = state == "leaving";
     reg.cold_remaining = Millis(cold.parse().map_err(|_| "no time")?);
@@ -164,6 +169,22 @@
     Ok(reg)
 }
 
+/// Encodes a registration that includes the version.
+pub fn entry_of_version(domain: &str, version: &str, cold_ms: u64) -> Bytes {
+    format!("gallery {domain} ready {cold_ms} 1 1 {version}").into()
+}
+
+/// Decodes a rollout order from its target version and time limit in milliseconds.
+fn read_order(key: &str, value: &Bytes) -> Result<RolloutOrder, String> {
+    let text = String::from_utf8_lossy(value);
+    let (target, limit) = text.split_once(' ').ok_or("no time limit")?;
+    Ok(RolloutOrder {
+        service: key.trim_start_matches("rollout/").into(),
+        target: target.into(),
+        time_limit: Millis(limit.parse().map_err(|_| "no number")?),
+    })
+}
+
 /// Header names of the test platform.
 pub fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
@@ -186,9 +207,13 @@
             catalog: "catalog",
             server_prefix: "server/",
             evacuation_prefix: "evacuated/",
+            rollout_prefix: "rollout/",
+            rollout_status_prefix: "rollout-status/",
         },
         catalog: Rc::new(read_catalog),
         registration: Rc::new(read_registration),
+        rollout_order: Rc::new(read_order),
+        rollout_status: Rc::new(|status| format!("{:?} {}", status.state, status.target).into()),
         object: Rc::new(|_| None::<Arc<str>>),
         is_readiness_check: Rc::new(|_| true),
         lookup: Rc::new(|_| {
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -85,3 +85,7 @@
     /// An upstream: one backend server as one service uses it.
     UpstreamName
 );
+name_type!(
+    /// A version of the software that the backend servers of a service run.
+    VersionName
+);
