--- a/crates/edge/src/rollout/evidence.rs
+++ b/crates/edge/src/rollout/evidence.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Number of groups into which the servers of the target version are divided.
-pub const SERVER_GROUPS: u8 = 16;
+pub const SERVER_GROUPS: u8 = 8;
 /// Maximum number of counts of one rollout. A service with more kinds of requests loses those of
 /// the kinds that come last.
 const MAX_COUNTS: usize = 512;
--- a/crates/edge/src/rollout/plan.rs
+++ b/crates/edge/src/rollout/plan.rs
@@ -12,9 +12,9 @@
 
 /// Part of the allowed share of the requests that goes to the target version in the canary stage.
 const CANARY_FRACTION: f64 = 0.4;
-/// Minimum number of servers of each region that get the canary's requests. With a single one, a
-/// fault of that server could not be told from one of its version.
-pub const MIN_CANARY_SERVERS: usize = 2;
+/// Minimum number of servers of each region that get the canary's requests. With fewer, a fault of
+/// one or two servers could not be told from one of their version.
+pub const MIN_CANARY_SERVERS: usize = 3;
 /// Time over which the traffic moves to the target version. Each object's first request there takes
 /// several times as long as usual, and all of them at once would overload the servers.
 pub const RAMP: Millis = Millis(2_000);
--- a/crates/edge/src/rollout/verdict.rs
+++ b/crates/edge/src/rollout/verdict.rs
@@ -20,9 +20,6 @@
 /// are no chance.
 const FAILURE_FACTOR: f64 = 2.0;
 const FAILURE_DEVIATIONS: f64 = 5.0;
-/// Failures that are expected of a group of servers at the overall rate, from which it is asked
-/// whether the group is affected.
-const MIN_GROUP_EXPECTED_FAILURES: f64 = 1.0;
 /// Part of its expected failures with which a group of servers is affected.
 const AFFECTED_FRACTION: f64 = 0.5;
 /// Factor by which the target version has to be slower.
@@ -30,14 +27,11 @@
 /// The same for a single group of servers, of which less is known.
 const GROUP_SLOW_FACTOR: f64 = 1.6;
 /// Response time, in milliseconds, below which differences are not told from chance.
-const MIN_RESPONSE_MS: f64 = 20.0;
+const MIN_RESPONSE_MS: f64 = 100.0;
 /// Timed answers of the previous version that its response time is estimated from.
 const MIN_TIMED_ANSWERS: u64 = 20;
-/// Answers that would have been expected at the response time of the previous version, from which
-/// response times are compared.
-const MIN_EXPECTED_ANSWERS: f64 = 8.0;
-/// Timed requests of a group of servers from which it is asked whether the group is affected.
-const MIN_GROUP_TIMED_REQUESTS: u64 = 2;
+/// Timed requests of the target version from which response times are compared.
+const MIN_TIMED_REQUESTS: u64 = 8;
 /// Requests to the previous version in a time span from which that span is compared with itself,
 /// rather than with all of the previous version's requests.
 const MIN_PREVIOUS_REQUESTS: u64 = 20;
@@ -123,14 +117,11 @@
         let sum = sum(groups.values());
         let is_flawed = exceeds_chance(&sum, rate) && {
             let overall = sum.failures as f64 / sum.requests as f64;
-            let expected = |outcomes: &Outcomes| overall * outcomes.requests as f64;
             let is_affected = |outcomes: &Outcomes| {
-                outcomes.failures as f64 >= AFFECTED_FRACTION * expected(outcomes)
+                let expected = overall * outcomes.requests as f64;
+                outcomes.failures > 0 && outcomes.failures as f64 >= AFFECTED_FRACTION * expected
             };
-            let judged = groups
-                .values()
-                .filter(|o| expected(o) >= MIN_GROUP_EXPECTED_FAILURES);
-            are_most_affected(judged, is_affected, groups.len())
+            are_most_affected(&groups, is_affected)
         };
         is_flawed.then_some(Flaw::Failures {
             route,
@@ -156,46 +147,41 @@
         }
         let previous_ms = previous.time_ms as f64 / previous.timed as f64;
         let previous_ms = previous_ms.max(MIN_RESPONSE_MS);
-        let expected = |outcomes: &Outcomes| expected_answers(outcomes, previous_ms);
         let is_slower = |outcomes: &Outcomes, factor: f64| {
-            (outcomes.timed as f64) * factor < expected(outcomes)
+            let mean_ms = mean_ms(outcomes, previous_ms);
+            mean_ms.is_some_and(|mean_ms| mean_ms > factor * previous_ms)
         };
         let sum = sum(groups.values());
-        let is_flawed = expected(&sum) >= MIN_EXPECTED_ANSWERS && is_slower(&sum, SLOW_FACTOR) && {
-            let judged = groups
-                .values()
-                .filter(|o| o.timed + o.waiting >= MIN_GROUP_TIMED_REQUESTS);
-            are_most_affected(judged, |o| is_slower(o, GROUP_SLOW_FACTOR), groups.len())
-        };
+        let is_flawed = sum.timed + sum.waiting >= MIN_TIMED_REQUESTS
+            && is_slower(&sum, SLOW_FACTOR)
+            && are_most_affected(&groups, |o| is_slower(o, GROUP_SLOW_FACTOR));
         is_flawed.then(|| Flaw::Slowness {
             route: kind.route(),
-            target_ms: (sum.time_ms + sum.waiting_ms) as f64 / (sum.timed + sum.waiting) as f64,
+            target_ms: mean_ms(&sum, previous_ms).unwrap_or_default(),
             previous_ms,
         })
     })
 }
 
-/// Returns the number of answers that the previous version would have given in the time that the
-/// requests took. Requests in flight count only for what they have waited beyond its response time,
-/// because until then they tell nothing.
-fn expected_answers(outcomes: &Outcomes, previous_ms: f64) -> f64 {
-    let overdue = outcomes.waiting_ms as f64 - outcomes.waiting as f64 * previous_ms;
-    (outcomes.time_ms as f64 + overdue.max(0.0)) / previous_ms
+/// Returns a lower bound of the mean response time. Requests in flight count once they have waited
+/// for longer than the previous version takes, because until then they tell nothing.
+fn mean_ms(outcomes: &Outcomes, previous_ms: f64) -> Option<f64> {
+    let is_overdue = outcomes.waiting_ms as f64 > outcomes.waiting as f64 * previous_ms;
+    let (waiting, waiting_ms) = match is_overdue {
+        true => (outcomes.waiting, outcomes.waiting_ms),
+        false => (0, 0),
+    };
+    let requests = outcomes.timed + waiting;
+    (requests > 0).then(|| (outcomes.time_ms + waiting_ms) as f64 / requests as f64)
 }
 
-/// Returns whether more than half of the `judged` groups of servers are affected. `groups` is the
-/// number of all groups that had requests; a version with a single one is judged by that.
-fn are_most_affected<'a>(
-    judged: impl Iterator<Item = &'a Outcomes>,
-    is_affected: impl Fn(&Outcomes) -> bool,
-    groups: usize,
-) -> bool {
-    let (mut all, mut affected) = (0, 0);
-    for outcomes in judged {
-        all += 1;
-        affected += usize::from(is_affected(outcomes));
-    }
-    2 * affected > all && affected >= MIN_AFFECTED_GROUPS.min(groups)
+/// Returns whether more than half of the groups of servers that had requests are affected.
+fn are_most_affected(groups: &ByGroup, is_affected: impl Fn(&Outcomes) -> bool) -> bool {
+    let had_requests = |o: &&Outcomes| o.requests + o.waiting > 0;
+    let all = groups.values().filter(had_requests);
+    let affected = all.clone().filter(|outcomes| is_affected(outcomes)).count();
+    let all = all.count();
+    2 * affected > all && affected >= MIN_AFFECTED_GROUPS.min(all)
 }
 
 /// Returns the outcomes of the previous version in the same span if there are enough of them, and
