Register the target version of the soak's rollout with its order, and split long functions

An order comes with its servers, never before a version has any of its own. Where two versions are as common, all VMs now take the same one.

--- a/crates/daemon/tests/soak/rollouts.rs
+++ b/crates/daemon/tests/soak/rollouts.rs
@@ -23,10 +23,15 @@
 /// Pause of the caller between two requests.
 const PAUSE: Duration = Duration::from_millis(20);
 
+fn server_id(version: &str, number: usize) -> String {
+    format!("r-{version}-{number}")
+}
+
 /// A rollout and its servers.
 pub struct Rollout {
     previous: Vec<FakeServer>,
     target: Vec<FakeServer>,
+    domains: [&'static str; 2],
     is_bad: bool,
     began: Instant,
     is_ordered: bool,
@@ -36,22 +41,18 @@
 }
 
 impl Rollout {
-    /// Starts the servers and registers them. With an odd seed the target version is a bad one.
+    /// Starts the servers, and registers those of the version in use. With an odd seed the target
+    /// version is a bad one.
     pub fn start(store: &FakeStore, domains: [&'static str; 2], seed: u64) -> Self {
         let servers = |version: &str| -> Vec<FakeServer> {
-            let servers = (0..SERVERS).map(|n| {
-                let id = format!("r-{version}-{n}");
-                let server = FakeServer::start(&id);
-                let domain = domains[n % domains.len()];
-                let entry = server.entry_of_version(SERVICE, domain, version);
-                store.put(&format!("servers/{id}"), &entry);
-                server
-            });
-            servers.collect()
+            (0..SERVERS)
+                .map(|n| FakeServer::start(&server_id(version, n)))
+                .collect()
         };
         let rollout = Self {
             previous: servers("v1"),
             target: servers("v2"),
+            domains,
             is_bad: seed % 2 == 1,
             began: Instant::now(),
             is_ordered: false,
@@ -62,13 +63,23 @@
             let servers = rollout.target.iter();
             servers.for_each(|server| server.set_behavior(Behavior::Fails));
         }
+        rollout.register(store, &rollout.previous, "v1");
         rollout
     }
 
+    fn register(&self, store: &FakeStore, servers: &[FakeServer], version: &str) {
+        for (n, server) in servers.iter().enumerate() {
+            let domain = self.domains[n % self.domains.len()];
+            let entry = server.entry_of_version(SERVICE, domain, version);
+            store.put(&format!("servers/{}", server_id(version, n)), &entry);
+        }
+    }
+
     /// Gives the order when it is due, and reads the state.
     pub fn step(&mut self, store: &FakeStore) {
         if !self.is_ordered && self.began.elapsed() >= ORDER_AFTER {
             self.is_ordered = true;
+            self.register(store, &self.target, "v2");
             self.runs_before_order = self.runs_of_target();
             store.order_rollout(SERVICE, "v2", TIME_LIMIT);
         }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -325,12 +325,7 @@
     let requested = requested.and_then(|v| v.to_str().ok()?.trim().parse().ok());
     let timeout = requested.map_or(DEFAULT_TIMEOUT, Millis).min(route.timeout);
     let object = object_hash(cx, &head);
-    let versions = match &handed {
-        Some(header) => cx.rollouts.choice_of_peer(&service, &header.server),
-        None => cx
-            .rollouts
-            .choose(&service, object, attempt_hash(cx, &head)),
-    };
+    let versions = choose_versions(cx, &service, object, &head, handed.as_ref());
     if handed.is_none() {
         state.recent_requests.borrow_mut().add(started, 1.0);
         cx.route(&route.name).record_request(object, started);
@@ -415,6 +410,21 @@
     }
 }
 
+/// Chooses the versions of a service that may run a request. For one that was handed over, the other
+/// VM has chosen them.
+fn choose_versions(
+    cx: &EdgeContext,
+    service: &ServiceName,
+    object: u64,
+    head: &RequestHead,
+    handed: Option<&HandOverHeader>,
+) -> VersionChoice {
+    match handed {
+        Some(header) => cx.rollouts.choice_of_peer(service, &header.server),
+        None => cx.rollouts.choose(service, object, attempt_hash(cx, head)),
+    }
+}
+
 /// Returns a hash that differs between all attempts of callers, or a random number if the request
 /// has no identifier.
 fn attempt_hash(cx: &EdgeContext, head: &RequestHead) -> u64 {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -178,14 +178,14 @@
 fn make_context(cfg: EdgeConfig, platform: Platform) -> Result<Rc<EdgeContext>, StartError> {
     let Platform { dialect, store } = platform;
     let bounds = Bounds::from(&cfg.bounds);
-    let region = own_region(&cfg)?;
     let timer = Timer::system();
     let routing_state = make_routing_state(&cfg, &dialect, &timer);
+    let settle_time = bounds.store_settle_time;
     let feed = Feed::new(
         store.clone(),
         timer.clone(),
         Rc::clone(&routing_state),
-        bounds.store_settle_time,
+        settle_time,
     );
     let registry = Registry::new();
     let metrics = EdgeMetrics::register(&registry).context(MetricsSnafu)?;
@@ -197,13 +197,11 @@
     round_trip::register(&mut methods);
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&routing_state)));
     exchange::register(&mut methods, &quota);
-    let rollouts = Rc::new(Rollouts::new(timer.clone(), Rc::clone(&routing_state)));
-    rollout::exchange::register(&mut methods, &rollouts, &cfg.domain);
-    rollout::exchange::subscribe(&feed, &rollouts, dialect.keys.rollout_prefix);
+    let rollouts = make_rollouts(&cfg, &dialect, &timer, &feed, &routing_state, &mut methods);
     let poison = make_poison(&cfg, &timer, &feed, &mut methods);
     let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
     Ok(Rc::new(EdgeContext {
-        region,
+        region: own_region(&cfg)?,
         incarnation,
         timer,
         rng: RefCell::new(rng),
@@ -242,6 +240,20 @@
     }))
 }
 
+fn make_rollouts(
+    cfg: &EdgeConfig,
+    dialect: &Dialect,
+    timer: &Timer,
+    feed: &Rc<Feed>,
+    routing_state: &Rc<RefCell<RoutingState>>,
+    methods: &mut MethodTable,
+) -> Rc<Rollouts> {
+    let rollouts = Rc::new(Rollouts::new(timer.clone(), Rc::clone(routing_state)));
+    rollout::exchange::register(methods, &rollouts, &cfg.domain);
+    rollout::exchange::subscribe(feed, &rollouts, dialect.keys.rollout_prefix);
+    rollouts
+}
+
 fn make_poison(
     cfg: &EdgeConfig,
     timer: &Timer,
--- a/crates/edge/src/rollout/plan.rs
+++ b/crates/edge/src/rollout/plan.rs
@@ -112,7 +112,8 @@
     let (answers, previous) = progress.answers;
     let has_evidence = answers >= MIN_ANSWERS;
     let is_last_chance = progress.elapsed + LAST_SHIFT >= time_limit;
-    if !has_evidence && !(is_last_chance && progress.stage_age >= MIN_CANARY_TIME) {
+    let is_tried = is_last_chance && progress.stage_age >= MIN_CANARY_TIME;
+    if !has_evidence && !is_tried {
         return None;
     }
     if answers == 0 && previous >= ANSWERS_THAT_REFUTE_IDLENESS {
--- a/crates/edge/src/rollout/versions.rs
+++ b/crates/edge/src/rollout/versions.rs
@@ -3,6 +3,7 @@
 //! A service has one version in use. Servers of any other version get no requests, unless a rollout
 //! to that version is in progress. A version that was rolled back gets none ever again.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
@@ -282,7 +283,8 @@
         let eligible = counts
             .iter()
             .filter(|(version, _)| self.may_establish(version));
-        let most_common = eligible.max_by_key(|(_, count)| **count);
+        // Of two that are as common, all VMs take the same one.
+        let most_common = eligible.max_by_key(|(version, count)| (**count, Reverse(*version)));
         if let Some((version, count)) = most_common {
             let version = (*version).clone();
             info!(service:% = service, version:% = version, servers = *count; "version in use determined");
