--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -180,23 +180,19 @@
     let bounds = Bounds::from(&cfg.bounds);
     let timer = Timer::system();
     let routing_state = make_routing_state(&cfg, &dialect, &timer);
-    let settle_time = bounds.store_settle_time;
     let feed = Feed::new(
         store.clone(),
         timer.clone(),
         Rc::clone(&routing_state),
-        settle_time,
+        bounds.store_settle_time,
     );
     let registry = Registry::new();
     let metrics = EdgeMetrics::register(&registry).context(MetricsSnafu)?;
     let mut rng = fastrand::Rng::new();
     let incarnation = Incarnation(rng.u64(1..));
     let entries = Rc::new(VmEntries::new(Rc::clone(&feed)));
-    let mut methods = MethodTable::default();
-    peer_feed::register(&mut methods, &feed, &timer);
-    round_trip::register(&mut methods);
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&routing_state)));
-    exchange::register(&mut methods, &quota);
+    let mut methods = make_methods(&feed, &quota, &timer);
     let rollouts = make_rollouts(&cfg, &dialect, &timer, &feed, &routing_state, &mut methods);
     let poison = make_poison(&cfg, &timer, &feed, &mut methods);
     let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
@@ -240,6 +236,15 @@
     }))
 }
 
+/// Returns the methods that peers may call, without those of rollouts and poison requests.
+fn make_methods(feed: &Rc<Feed>, quota: &Rc<Quota>, timer: &Timer) -> MethodTable {
+    let mut methods = MethodTable::default();
+    peer_feed::register(&mut methods, feed, timer);
+    round_trip::register(&mut methods);
+    exchange::register(&mut methods, quota);
+    methods
+}
+
 fn make_rollouts(
     cfg: &EdgeConfig,
     dialect: &Dialect,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,8 @@
     pub unrouted: IntCounterVec,
     /// Calls to the store by result.
     pub store_calls: IntCounterVec,
+    /// Stages of rollouts that this VM has written, by service and stage.
+    pub rollout_stages: IntCounterVec,
     /// Lookups answered.
     pub lookups: IntCounter,
     /// Version of the configuration in force.
@@ -54,7 +56,6 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let latency = register_latency(registry)?;
         let lookups = IntCounter::new("heatherknot_lookups_total", "Look-ups answered")?;
         registry.register(Box::new(lookups.clone()))?;
         Ok(Self {
@@ -63,7 +64,7 @@
                 "Requests by service and outcome",
                 &["service", "outcome"],
             )?,
-            latency,
+            latency: register_latency(registry)?,
             sends: counters(
                 "heatherknot_sends_total",
                 "Sends to backend servers by service and result",
@@ -94,6 +95,11 @@
                 "Calls on the platform's store by result",
                 &["result"],
             )?,
+            rollout_stages: counters(
+                "heatherknot_rollout_stages_total",
+                "Rollout stages written by this VM, by service and stage",
+                &["service", "stage"],
+            )?,
             lookups,
             catalog_version: gauge("heatherknot_config_version", "Configuration in force")?,
             vms: gauge("heatherknot_vms", "Known VMs that are alive")?,
--- a/crates/edge/src/rollout/record.rs
+++ b/crates/edge/src/rollout/record.rs
@@ -62,6 +62,17 @@
         !matches!(self, Stage::Canary | Stage::Shift)
     }
 
+    /// Returns the value of the metrics label.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Stage::Canary => "canary",
+            Stage::Shift => "shift",
+            Stage::Completed => "completed",
+            Stage::RolledBack => "rolled-back",
+            Stage::Withdrawn => "withdrawn",
+        }
+    }
+
     /// Returns the state that operators are told, if they are told any.
     pub fn state(self) -> Option<RolloutState> {
         match self {
--- a/crates/edge/src/rollout/writer.rs
+++ b/crates/edge/src/rollout/writer.rs
@@ -65,6 +65,8 @@
     match cx.store.txn(transaction(cx, &proposal, &values)).await {
         Ok(done) if done.succeeded => {
             info!(service:% = service, stage:? = stage, cause = record.cause.as_str(); "rollout stage written");
+            let labels = [service.as_str(), stage.label()];
+            cx.metrics.rollout_stages.with_label_values(&labels).inc();
             read_back(cx, service).await;
         }
         Ok(_) => {
