--- a/crates/edge/tests/rollouts.rs
+++ b/crates/edge/tests/rollouts.rs
@@ -170,6 +170,15 @@
     assert_eq!(summary.cut_off_although_drained, 0, "{summary:?}");
 }
 
+/// Guards against requests that are broken off when the previous servers stop at the deadline.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn no_request_is_in_flight_at_the_previous_version_when_a_good_one_is_completed() {
+    let summary = Summary::of(good, "good, nothing cut off");
+
+    assert_eq!(summary.cut_off, 0, "{summary:?}");
+}
+
 /// Guards against a version that fails at once and gets more than its share of the requests.
 #[test]
 fn a_version_that_fails_at_once_is_rolled_back() {
