Read the request limits that backend servers state, log their changes and count sends to limited servers

Neither logs nor metrics told whether a VM knows of a server's request limit, nor how many requests it sends to a limited server, so the hypotheses about the incident could not be told apart. The header is now decoded into a limit of the server's run: a lower limit applies at once, a higher one or none only for a request that was sent half a second after the limit was last stated, since responses overtake each other. Values that are no limit are logged and ignored. Each change is one log line; heatherknot_limited_servers and heatherknot_sends_to_limited_servers_total are new. No decision uses the limit yet.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::call::Call;
 use crate::context::EdgeContext;
+use crate::request_limit;
 use crate::rollout::evidence::RequestKind;
 use crate::rollout::state::{ObservedSend, SendResult};
 use crate::selection::Candidate;
@@ -153,6 +154,10 @@
     let Some(head) = outgoing_head(cx, call, candidate, sent) else {
         return SendOutcome::NotSent("its server's identifier is no header value");
     };
+    if upstream.request_limit.get().per_second().is_some() {
+        let counter = &cx.metrics.sends_to_limited;
+        counter.with_label_values(&[call.service.as_str()]).inc();
+    }
     let in_flight = upstream.start_request();
     let options = SendOptions {
         deadline: Some(call.deadline),
@@ -168,6 +173,7 @@
     response.headers.remove(OUTCOME_HEADER);
     upstream.record_response(cx.now());
     record_load(cx, call, candidate, &response.headers, sent);
+    record_request_limit(cx, candidate, &response, sent);
     if let Some(outcome) = detect_refusal(cx, candidate, &response) {
         return outcome;
     }
@@ -320,6 +326,22 @@
     }
 }
 
+/// Records what a response says about its server's request limit.
+fn record_request_limit(
+    cx: &EdgeContext,
+    candidate: &Candidate,
+    response: &Response,
+    sent: Millis,
+) {
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        // Another server has the address.
+        return;
+    }
+    let (names, headers) = (&cx.dialect.headers, &response.headers);
+    let is_genuine = headers.contains_key(&names.signature) || headers.contains_key(&names.not_run);
+    request_limit::record::record_response(cx, &candidate.upstream, headers, sent, is_genuine);
+}
+
 /// Turns a send error into an outcome, by whether the server may have received the request.
 fn outcome_of_error(
     cx: &EdgeContext,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -103,6 +103,8 @@
     pub round_trips: RegionRoundTrips,
     /// Limits the log lines about requests over their accounts' limits.
     pub over_limit_log: RefCell<LogRateLimit>,
+    /// Limits the log lines about the request limits of backend servers.
+    pub request_limit_log: RefCell<LogRateLimit>,
     /// Metrics.
     pub metrics: EdgeMetrics,
     /// Registry from which the metrics are exported.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -38,7 +38,7 @@
 use crate::routing_state::RoutingState;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
-use crate::upstream::{self, IDLE_TIMEOUT};
+use crate::upstream::{self, IDLE_TIMEOUT, Upstream};
 use crate::{
     call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
     presence, reply, rollout, round_trip, stop,
@@ -224,6 +224,7 @@
         poison,
         rollouts,
         over_limit_log: RefCell::default(),
+        request_limit_log: RefCell::default(),
         round_trips: RegionRoundTrips::default(),
         metrics,
         registry,
@@ -469,6 +470,9 @@
                 .all_upstreams()
                 .for_each(|upstream| upstream.pool.sweep());
             cx.homes.sweep();
+            let states_limit = |u: &&Rc<Upstream>| u.request_limit.get().per_second().is_some();
+            let limited = routing_state.all_upstreams().filter(states_limit).count();
+            cx.metrics.limited_servers.set(limited as i64);
             let version = routing_state.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod region_counts;
 pub mod registration;
 mod reply;
+pub mod request_limit;
 mod request_log;
 pub mod rollout;
 pub mod round_trip;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,10 @@
     pub latency: HistogramVec,
     /// Sends to backend servers by service and result.
     pub sends: IntCounterVec,
+    /// Sends to backend servers that state a request limit, by service.
+    pub sends_to_limited: IntCounterVec,
+    /// Number of backend servers that state a request limit, as far as this VM knows.
+    pub limited_servers: IntGauge,
     /// Requests that a backend server was running when it crashed, by service.
     pub requests_at_server_crash: IntCounterVec,
     /// Requests handed over to the home VMs of their servers, by result.
@@ -70,6 +74,15 @@
                 "Sends to backend servers by service and result",
                 &["service", "result"],
             )?,
+            sends_to_limited: counters(
+                "heatherknot_sends_to_limited_servers_total",
+                "Sends to backend servers that state a request limit, by service",
+                &["service"],
+            )?,
+            limited_servers: gauge(
+                "heatherknot_limited_servers",
+                "Backend servers that state a request limit",
+            )?,
             requests_at_server_crash: counters(
                 "heatherknot_requests_at_server_ends_total",
                 "Requests that a backend server had when it ended, by service",
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -11,6 +11,7 @@
 use crate::ewma::{Ewma, decay};
 use crate::poison::crash::CrashProbe;
 use crate::registration::Registration;
+use crate::request_limit::observed::ObservedLimit;
 use crate::rollout::versions::VersionRole;
 
 /// Maximum number of objects remembered per backend server. Servers cache tens of objects at most,
@@ -67,6 +68,8 @@
     pub unrestricted_share: Cell<f64>,
     /// When it registered, on this process's clock.
     pub registered_at: Millis,
+    /// Its request limit, if it states one.
+    pub request_limit: Cell<ObservedLimit>,
     /// The latest probe of whether the server has crashed.
     pub(crate) crash_probe: RefCell<Option<CrashProbe>>,
     in_flight: Cell<u32>,
@@ -142,6 +145,7 @@
             is_presumed_cold: Cell::new(false),
             unrestricted_share: Cell::new(1.0),
             registered_at: clock.now(),
+            request_limit: Cell::default(),
             crash_probe: RefCell::default(),
             in_flight: Cell::new(0),
             other_load: Ewma::default(),
