Hold the request limits that backend servers state, over all VMs together

Callers saw nothing, but a server that stated a limit of 5 requests per second got 59 in four seconds, as many as without it: no VM read the header. A VM that applied the limit alone would not have helped, since eight of them send up to eight times as many.

Each request to a limited server now needs a permit. One VM issues them from a token bucket: the home VM of the server, or the VM nearest to it, on which all VMs agree by rank. The others ask it when they have selected the server, before the first byte is sent; requests that were handed over are sent by the issuer itself. Without a permit the request selects another server, which costs no retry; if the limits of all servers are used up, it is refused at once with a time to retry. An issuer uses only the part of the limit of the VMs that it reaches, so that two issuers in a partition together keep to it. The limit belongs to a run of the server, and reports of it are merged in any order.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,6 +1,7 @@
 //! A single send of a request to one backend server.
 
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
@@ -81,7 +82,11 @@
 }
 
 /// Sends a request to the backend server of `candidate`.
-pub(crate) async fn send(cx: &EdgeContext, call: &mut Call, candidate: &Candidate) -> SendOutcome {
+pub(crate) async fn send(
+    cx: &Rc<EdgeContext>,
+    call: &mut Call,
+    candidate: &Candidate,
+) -> SendOutcome {
     let Some(body) = call.body.body_for_send() else {
         return SendOutcome::NotSent("its body can't be sent again");
     };
@@ -148,14 +153,19 @@
 }
 
 /// Sends the request and receives the response, and records what both show about the server.
-async fn exchange(cx: &EdgeContext, call: &Call, body: Body, candidate: &Candidate) -> SendOutcome {
+async fn exchange(
+    cx: &Rc<EdgeContext>,
+    call: &Call,
+    body: Body,
+    candidate: &Candidate,
+) -> SendOutcome {
     let upstream = &candidate.upstream;
     let sent = cx.now();
     let Some(head) = outgoing_head(cx, call, candidate, sent) else {
         return SendOutcome::NotSent("its server's identifier is no header value");
     };
-    if upstream.request_limit.get().per_second().is_some() {
-        let counter = &cx.metrics.sends_to_limited;
+    if upstream.is_limited() {
+        let counter = &cx.metrics.limits.sends;
         counter.with_label_values(&[call.service.as_str()]).inc();
     }
     let in_flight = upstream.start_request();
@@ -328,7 +338,7 @@
 
 /// Records what a response says about its server's request limit.
 fn record_request_limit(
-    cx: &EdgeContext,
+    cx: &Rc<EdgeContext>,
     candidate: &Candidate,
     response: &Response,
     sent: Millis,
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -10,6 +10,7 @@
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::hand_over;
+use crate::request_limit::issuer::permits_per_second;
 use crate::rollout::state::VersionChoice;
 use crate::selection::{self, Candidate, Locality, SelectionParams, select};
 use crate::switches::Mechanism;
@@ -30,6 +31,8 @@
     pub(crate) retry_after: Millis,
     /// The best available server, if it was expected to respond too late.
     pub(crate) best: Option<Candidate>,
+    /// A server whose request limit kept the request from it, and that limit.
+    pub(crate) limited_by: Option<(UpstreamName, f64)>,
 }
 
 impl Refusal {
@@ -38,16 +41,24 @@
         refuse(cause, retry_after)
     }
 
+    pub(crate) fn caller_disconnected() -> Self {
+        refuse("the caller has disconnected", DEFAULT_RETRY_AFTER)
+    }
+
     pub(crate) fn no_more_sends() -> Self {
-        Self {
-            cause: "no further send is allowed",
-            retry_after: DEFAULT_RETRY_AFTER,
-            best: None,
-        }
+        refuse("no further send is allowed", DEFAULT_RETRY_AFTER)
     }
 }
 
-/// Selects the server for a request that was already sent to the servers in `tried`.
+/// The servers that a request may not be sent to.
+pub(crate) struct Exclusions<'a> {
+    /// Servers that it was already sent to.
+    pub(crate) tried: &'a [UpstreamName],
+    /// Whether servers with a request limit are excluded.
+    pub(crate) limited: bool,
+}
+
+/// Selects the server for a request that may not be sent to the servers in `excluded`.
 ///
 /// # Errors
 ///
@@ -55,25 +66,27 @@
 pub(crate) fn select_or_refuse(
     cx: &EdgeContext,
     call: &Call,
-    tried: &[UpstreamName],
+    excluded: &Exclusions<'_>,
 ) -> Result<Candidate, Refusal> {
     let now = cx.now();
     let left = call.time_left(now);
     if left.0 == 0 {
         return Err(refuse("the time ran out", DEFAULT_RETRY_AFTER));
     }
-    let candidates = candidates(cx, call, tried, now);
+    let candidates = candidates(cx, call, excluded, now);
     let is_home = |u: &Upstream| is_home(cx, u);
     // A retry leaves its object where it is placed.
     let may_place_object =
-        tried.is_empty() && !call.is_isolated && hand_over::may_place_object(cx, call);
+        excluded.tried.is_empty() && !call.is_isolated && hand_over::may_place_object(cx, call);
     let params = SelectionParams {
         placement: may_place_object.then_some(&call.state.placement),
         ..selection_params(cx, call, now, &is_home)
     };
     let locality = locality(cx, call);
     let Some(best) = select(&params, &candidates, &call.state.service_times, locality) else {
-        return Err(refuse("no backend server can take it", DEFAULT_RETRY_AFTER));
+        let held_back = limit_refusal(cx, call, excluded, now);
+        return Err(held_back
+            .unwrap_or_else(|| refuse("no backend server can take it", DEFAULT_RETRY_AFTER)));
     };
     // A response after the latency target is worth little, and the work on it would make the next
     // requests late as well. A request that would have to wait that long is refused at once.
@@ -86,9 +99,8 @@
         let wait = (best.response_ms - best.service_ms).max(0.0);
         let retry_after = Millis(wait as u64).min(Millis(left.0 / 3));
         return Err(Refusal {
-            cause: "every backend server is busy for too long",
-            retry_after,
             best: Some(best),
+            ..refuse("every backend server is busy for too long", retry_after)
         });
     }
     Ok(best)
@@ -98,7 +110,11 @@
 /// server may get it. All VMs compute the same one.
 pub(crate) fn first_ranked(cx: &EdgeContext, call: &Call) -> Option<Rc<Upstream>> {
     let now = cx.now();
-    let warm = warm_candidates(cx, call, &[], now);
+    let excluded = Exclusions {
+        tried: &[],
+        limited: false,
+    };
+    let warm = warm_candidates(cx, call, &excluded, now);
     let is_home = |u: &Upstream| is_home(cx, u);
     selection::first_ranked(
         &selection_params(cx, call, now, &is_home),
@@ -172,6 +188,7 @@
         cause,
         retry_after,
         best: None,
+        limited_by: None,
     }
 }
 
@@ -179,15 +196,15 @@
 fn candidates(
     cx: &EdgeContext,
     call: &Call,
-    tried: &[UpstreamName],
+    excluded: &Exclusions<'_>,
     now: Millis,
 ) -> Vec<Rc<Upstream>> {
-    let warm = warm_candidates(cx, call, tried, now);
+    let warm = warm_candidates(cx, call, excluded, now);
     if !warm.is_empty() {
         return warm;
     }
-    let choices = version_choices(cx, call, tried).into_iter();
-    let cold = choices.flat_map(|choice| eligible(cx, call, tried, choice, now, |_| true));
+    let choices = version_choices(cx, call, excluded.tried).into_iter();
+    let cold = choices.flat_map(|choice| eligible(cx, call, excluded, choice, now, |_| true));
     let may = |u: &Rc<Upstream>| claim_cold_send(cx, call, u, now);
     cold.into_iter().find(may).into_iter().collect()
 }
@@ -207,38 +224,97 @@
 fn warm_candidates(
     cx: &EdgeContext,
     call: &Call,
-    tried: &[UpstreamName],
+    excluded: &Exclusions<'_>,
     now: Millis,
 ) -> Vec<Rc<Upstream>> {
-    let choices = version_choices(cx, call, tried).into_iter();
-    let warm = choices.map(|choice| eligible(cx, call, tried, choice, now, |u| !u.is_cold(now)));
+    let choices = version_choices(cx, call, excluded.tried).into_iter();
+    let warm = choices.map(|choice| eligible(cx, call, excluded, choice, now, |u| !u.is_cold(now)));
     let mut non_empty = warm.filter(|servers| !servers.is_empty());
     non_empty.next().unwrap_or_default()
 }
 
-/// Returns the servers matching `wanted` of the versions `choice` that may run the request and are
-/// reachable.
+/// Returns the servers matching `wanted` of the versions `choice` that may run the request, are
+/// reachable and are not blocked by their request limits.
 fn eligible(
     cx: &EdgeContext,
     call: &Call,
-    tried: &[UpstreamName],
+    excluded: &Exclusions<'_>,
     choice: VersionChoice,
     now: Millis,
     wanted: impl Fn(&Upstream) -> bool,
+) -> Vec<Rc<Upstream>> {
+    let is_free = |u: &Upstream| !is_held_back(excluded, u, now);
+    let in_service = in_service(cx, call, excluded, choice, now);
+    let eligible = in_service.into_iter().filter(|u| wanted(u) && is_free(u));
+    eligible.collect()
+}
+
+/// Returns whether a server's request limit keeps the request from it.
+fn is_held_back(excluded: &Exclusions<'_>, upstream: &Upstream, now: Millis) -> bool {
+    upstream.is_blocked_by_limit(now) || (excluded.limited && upstream.is_limited())
+}
+
+/// Returns the servers of the versions `choice` that may run the request and are reachable, whether
+/// or not their request limits are used up.
+fn in_service(
+    cx: &EdgeContext,
+    call: &Call,
+    excluded: &Exclusions<'_>,
+    choice: VersionChoice,
+    now: Millis,
 ) -> Vec<Rc<Upstream>> {
     let has_version = cx.rollouts.filter(&call.service, choice);
     let routing_state = cx.routing_state.borrow();
     let all = routing_state.upstreams(&call.service);
-    let eligible = all.iter().filter(|u| {
+    let in_service = all.iter().filter(|u| {
         u.accepts_requests()
             && has_version(u)
-            && wanted(u)
             && !routing_state.is_evacuated(&u.domain)
             && call.regions.allows(&u.region)
             && u.is_reachable(now)
-            && !tried.contains(&u.id)
+            && !excluded.tried.contains(&u.id)
     });
-    eligible.cloned().collect()
+    in_service.cloned().collect()
+}
+
+/// Refuses a request that only request limits keep from being sent. Returns `None` if none does.
+///
+/// The callers that this VM refuses are to return at the rate at which it gets permits if all VMs
+/// get as many.
+fn limit_refusal(
+    cx: &EdgeContext,
+    call: &Call,
+    excluded: &Exclusions<'_>,
+    now: Millis,
+) -> Option<Refusal> {
+    let choices = version_choices(cx, call, excluded.tried).into_iter();
+    let in_service = choices.flat_map(|choice| in_service(cx, call, excluded, choice, now));
+    let held_back: Vec<_> = in_service
+        .filter(|u| is_held_back(excluded, u, now))
+        .collect();
+    let limits = held_back.iter().filter_map(|u| {
+        let state = u.request_limit.borrow();
+        let state = state.as_ref()?;
+        let per_second = state.observed.per_second()?;
+        Some((state.blocked_until(), per_second, u))
+    });
+    let limits: Vec<_> = limits.collect();
+    let (first_at, per_second, first) = *limits.iter().min_by_key(|(at, ..)| *at)?;
+    let rates = limits
+        .iter()
+        .map(|(_, limit, _)| permits_per_second(*limit));
+    let vms = cx.vms.borrow().len().max(1) as f64;
+    let interval_ms = 1000.0 * vms / rates.sum::<f64>();
+    let longest = Millis(call.time_left(now).0 / 3);
+    let draw = cx.rng.borrow_mut().f64();
+    let mut returns = call.state.limit_returns.borrow_mut();
+    Some(Refusal {
+        limited_by: Some((first.id.clone(), per_second)),
+        ..refuse(
+            "the request limits of the backend servers are used up",
+            returns.next(first_at.since(now), longest, interval_ms, draw, now),
+        )
+    })
 }
 
 /// Returns whether this VM may send a request to a cold server now. If so, it counts the send.
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -24,6 +24,8 @@
 use crate::presence::{self, RefreshInput, VmEntries, VmEntry};
 use crate::quota::state::Quota;
 use crate::region_counts::RegionCounts;
+use crate::request_limit::return_schedule::ReturnSchedule;
+use crate::request_limit::state::RequestLimits;
 use crate::rollout::state::Rollouts;
 use crate::round_trip::RegionRoundTrips;
 use crate::routing_state::RoutingState;
@@ -103,8 +105,8 @@
     pub round_trips: RegionRoundTrips,
     /// Limits the log lines about requests over their accounts' limits.
     pub over_limit_log: RefCell<LogRateLimit>,
-    /// Limits the log lines about the request limits of backend servers.
-    pub request_limit_log: RefCell<LogRateLimit>,
+    /// This VM's part in enforcing the request limits of backend servers.
+    pub request_limits: Rc<RequestLimits>,
     /// Metrics.
     pub metrics: EdgeMetrics,
     /// Registry from which the metrics are exported.
@@ -133,6 +135,8 @@
     pub placement: ObjectPlacement,
     /// When each cold backend server may get its next request from this VM.
     pub next_cold_send: RefCell<HashMap<UpstreamName, Millis>>,
+    /// When callers refused because of request limits are to retry.
+    pub limit_returns: RefCell<ReturnSchedule>,
 }
 
 impl EdgeContext {
@@ -154,6 +158,7 @@
                 unrestricted_shares: UnrestrictedShares::default(),
                 placement: ObjectPlacement::default(),
                 next_cold_send: RefCell::default(),
+                limit_returns: RefCell::default(),
             })
         });
         Rc::clone(state)
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -32,16 +32,18 @@
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
 use crate::quota::{exchange, status};
+use crate::request_limit::state::RequestLimits;
+use crate::request_limit::status::LIMITS_PATH;
 use crate::rollout::state::Rollouts;
 use crate::rollout::status::ROLLOUTS_PATH;
 use crate::round_trip::RegionRoundTrips;
 use crate::routing_state::RoutingState;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
-use crate::upstream::{self, IDLE_TIMEOUT, Upstream};
+use crate::upstream::{self, IDLE_TIMEOUT};
 use crate::{
     call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
-    presence, reply, rollout, round_trip, stop,
+    presence, reply, request_limit, rollout, round_trip, stop,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -180,12 +182,7 @@
     let bounds = Bounds::from(&cfg.bounds);
     let timer = Timer::system();
     let routing_state = make_routing_state(&cfg, &dialect, &timer);
-    let feed = Feed::new(
-        store.clone(),
-        timer.clone(),
-        Rc::clone(&routing_state),
-        bounds.store_settle_time,
-    );
+    let feed = make_feed(&store, &timer, &routing_state, &bounds);
     let registry = Registry::new();
     let metrics = EdgeMetrics::register(&registry).context(MetricsSnafu)?;
     let mut rng = fastrand::Rng::new();
@@ -194,6 +191,7 @@
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&routing_state)));
     let mut methods = make_methods(&feed, &quota, &timer);
     let rollouts = make_rollouts(&cfg, &dialect, &timer, &feed, &routing_state, &mut methods);
+    let request_limits = make_request_limits(&cfg, &timer, &routing_state, &mut methods);
     let poison = make_poison(&cfg, &timer, &feed, &mut methods);
     let (membership, net) = join_peers(&cfg, incarnation, methods, &entries, &timer)?;
     Ok(Rc::new(EdgeContext {
@@ -224,7 +222,7 @@
         poison,
         rollouts,
         over_limit_log: RefCell::default(),
-        request_limit_log: RefCell::default(),
+        request_limits,
         round_trips: RegionRoundTrips::default(),
         metrics,
         registry,
@@ -237,7 +235,22 @@
     }))
 }
 
-/// Returns the methods that peers may call, without those of rollouts and poison requests.
+fn make_feed(
+    store: &Store,
+    timer: &Timer,
+    routing_state: &Rc<RefCell<RoutingState>>,
+    bounds: &Bounds,
+) -> Rc<Feed> {
+    Feed::new(
+        store.clone(),
+        timer.clone(),
+        Rc::clone(routing_state),
+        bounds.store_settle_time,
+    )
+}
+
+/// Returns the methods that peers may call, without those of rollouts, request limits and poison
+/// requests.
 fn make_methods(feed: &Rc<Feed>, quota: &Rc<Quota>, timer: &Timer) -> MethodTable {
     let mut methods = MethodTable::default();
     peer_feed::register(&mut methods, feed, timer);
@@ -260,6 +273,18 @@
     rollouts
 }
 
+fn make_request_limits(
+    cfg: &EdgeConfig,
+    timer: &Timer,
+    routing_state: &Rc<RefCell<RoutingState>>,
+    methods: &mut MethodTable,
+) -> Rc<RequestLimits> {
+    let limits = RequestLimits::new(timer.clone(), cfg.vm.clone(), Rc::clone(routing_state));
+    let limits = Rc::new(limits);
+    request_limit::register(methods, &limits);
+    limits
+}
+
 fn make_poison(
     cfg: &EdgeConfig,
     timer: &Timer,
@@ -470,9 +495,7 @@
                 .all_upstreams()
                 .for_each(|upstream| upstream.pool.sweep());
             cx.homes.sweep();
-            let states_limit = |u: &&Rc<Upstream>| u.request_limit.get().per_second().is_some();
-            let limited = routing_state.all_upstreams().filter(states_limit).count();
-            cx.metrics.limited_servers.set(limited as i64);
+            request_limit::status::update_metrics(&cx, &routing_state);
             let version = routing_state.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
         }
@@ -539,6 +562,7 @@
             match req.head.path() {
                 ACCOUNTS_PATH => accounts_page(&cx),
                 REJECTED_PATH | RELEASE_PATH => poison::status::handle(&cx, req).await,
+                LIMITS_PATH => request_limit::status::page(&cx),
                 ROLLOUTS_PATH => rollout::status::page(&cx),
                 _ => metrics_page(&cx),
             }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -7,12 +7,13 @@
 
 use crate::attempt::{self, SendOutcome};
 use crate::call::{self, AdmitError, Call};
-use crate::call_selection::{self, Refusal};
+use crate::call_selection::{self, Exclusions, Refusal};
 use crate::context::EdgeContext;
 use crate::hand_over;
 use crate::identify::IdentifyError;
 use crate::poison::guard::{self, SendDecision};
 use crate::reply;
+use crate::request_limit::gate::{self, Admission};
 use crate::request_log::{self, SendRecord};
 use crate::selection::Candidate;
 
@@ -26,6 +27,9 @@
 /// Number of sends beyond the route's attempts that a request may make after refusals. A server
 /// that refuses at once has cost the request little time.
 const EXTRA_SENDS_AFTER_REFUSAL: u32 = 1;
+/// Number of servers that may deny a request a permit before it is sent only to servers without a
+/// request limit. Each denial takes up to a round trip to another VM.
+const MAX_PERMITS_DENIED: u32 = 2;
 
 /// The sends of one request so far, and what came of them.
 #[derive(Default)]
@@ -40,6 +44,10 @@
     may_have_run: u32,
     /// Number of sends that reached no server.
     not_delivered: u32,
+    /// Number of servers with a request limit for which the request got no permit.
+    permits_denied: u32,
+    /// The server whose request limit kept the request from it when it was refused, and that limit.
+    pub(crate) limited_by: Option<(UpstreamName, f64)>,
     /// The latest error response of a server, unless a later send ended without a usable response.
     failure: Option<Response>,
     /// Cause of the latest failed send or of the refusal, for the response and the log.
@@ -128,10 +136,16 @@
                 return give_up(cx, call, history, &refusal);
             }
         };
-        let candidate = match call_selection::select_or_refuse(cx, call, &history.servers) {
+        let candidate = match call_selection::select_or_refuse(cx, call, &history.excluded()) {
             Ok(candidate) => candidate,
             Err(refusal) => return give_up(cx, call, history, &refusal),
         };
+        if !acquire_permit(cx, call, history, &candidate, suspect_guard.is_some()).await {
+            continue;
+        }
+        if call.cancelled.is_fired() {
+            return give_up(cx, call, history, &Refusal::caller_disconnected());
+        }
         if !may_send(cx, call, history) {
             return give_up(cx, call, history, &Refusal::no_more_sends());
         }
@@ -160,6 +174,28 @@
     give_up(cx, call, history, &Refusal::no_more_sends())
 }
 
+/// Takes a permit for a server with a request limit. Returns whether the request may be sent there
+/// now; if not, another server is to be selected.
+async fn acquire_permit(
+    cx: &EdgeContext,
+    call: &Call,
+    history: &mut SendHistory,
+    candidate: &Candidate,
+    is_isolated: bool,
+) -> bool {
+    match gate::acquire(cx, call, &candidate.upstream).await {
+        Admission::Immediate => true,
+        Admission::AfterWait => {
+            let is_suspected = !is_isolated && guard::is_suspected(cx, call);
+            candidate.upstream.accepts_requests() && !is_suspected
+        }
+        Admission::Denied => {
+            history.permits_denied += 1;
+            false
+        }
+    }
+}
+
 /// Updates the history with the outcome of a send. Returns the response for the caller, or `None`
 /// if the request may be sent again.
 async fn process_outcome(
@@ -209,6 +245,14 @@
 }
 
 impl SendHistory {
+    /// Returns the servers that the request may not be sent to any more.
+    fn excluded(&self) -> Exclusions<'_> {
+        Exclusions {
+            tried: &self.servers,
+            limited: self.permits_denied >= MAX_PERMITS_DENIED,
+        }
+    }
+
     /// Records a send that a server may have run and that produced no usable response.
     pub(crate) fn record_possible_run(&mut self, cause: &'static str) {
         self.delivered += 1;
@@ -247,6 +291,7 @@
     if history.delivered + history.not_delivered == 0 {
         history.cause = refusal.cause;
         history.best_when_refused.clone_from(&refusal.best);
+        history.limited_by.clone_from(&refusal.limited_by);
     }
     let cause = history.cause;
     cx.metrics
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -58,11 +58,7 @@
 pub fn find_home(upstream: &Upstream, vms: &[VmEntry]) -> Option<HomeVm> {
     let in_domain = vms.iter().filter(|vm| vm.domain == upstream.domain);
     let accepting = in_domain.filter_map(|vm| Some((vm, vm.handed?)));
-    let rank_key = |vm: &VmEntry| {
-        let digest = hash::rendezvous(&[upstream.id.as_str().as_bytes()], vm.name.as_str());
-        -hash::unit_interval(digest).ln() / capacity(vm)
-    };
-    let ranked = accepting.map(|(vm, handed)| (rank_key(vm), vm, handed));
+    let ranked = accepting.map(|(vm, handed)| (rank_key(upstream, vm), vm, handed));
     let (_, vm, handed) = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some(HomeVm {
         vm: vm.name.clone(),
@@ -70,6 +66,29 @@
     })
 }
 
+/// Returns the VM that issues permits for requests to a backend server with a request limit: its
+/// home VM if there is one, else the first-ranked VM nearest to the server. All VMs with the same
+/// `vms` compute the same one.
+pub fn find_issuer(upstream: &Upstream, vms: &[VmEntry]) -> Option<VmName> {
+    let distance = |vm: &VmEntry| match () {
+        () if vm.domain == upstream.domain && vm.handed.is_some() => 0,
+        () if vm.domain == upstream.domain => 1,
+        () if vm.region == upstream.region => 2,
+        () => 3,
+    };
+    let nearest = vms.iter().map(distance).min()?;
+    let candidates = vms.iter().filter(|vm| distance(vm) == nearest);
+    let ranked = candidates.map(|vm| (rank_key(upstream, vm), vm));
+    let (_, vm) = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    Some(vm.name.clone())
+}
+
+/// Returns a VM's sort key in the rank for a backend server, lowest first.
+fn rank_key(upstream: &Upstream, vm: &VmEntry) -> f64 {
+    let digest = hash::rendezvous(&[upstream.id.as_str().as_bytes()], vm.name.as_str());
+    -hash::unit_interval(digest).ln() / capacity(vm)
+}
+
 /// Returns the weight of a VM.
 fn capacity(vm: &VmEntry) -> f64 {
     f64::from(vm.cpu_permille.max(1)) * f64::from(vm.link_mbps.max(1))
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of the request path.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
 /// Upper bounds of the latency histogram's buckets, in seconds. They double, so that a percentile
@@ -10,6 +10,51 @@
     0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1.024, 2.048, 4.096, 8.192, 16.384,
 ];
 
+/// Metrics of the request limits of backend servers, by service.
+pub struct LimitMetrics {
+    /// Sends to backend servers with a request limit.
+    pub sends: IntCounterVec,
+    /// Times that a request got no permit for a backend server with a request limit.
+    pub held_back: IntCounterVec,
+    /// Number of backend servers with a request limit that this VM knows of.
+    pub servers: GaugeVec,
+    /// Sum of those limits, in requests per second.
+    pub per_second: GaugeVec,
+}
+
+impl LimitMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counters = |name: &str, help: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &["service"])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let gauges = |name: &str, help: &str| {
+            let gauges = GaugeVec::new(Opts::new(name, help), &["service"])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
+        Ok(Self {
+            sends: counters(
+                "heatherknot_sends_to_limited_servers_total",
+                "Sends to backend servers with a request limit, by service",
+            )?,
+            held_back: counters(
+                "heatherknot_held_back_total",
+                "Times that a request got no permit for a backend server, by service",
+            )?,
+            servers: gauges(
+                "heatherknot_limited_servers",
+                "Backend servers with a request limit, by service",
+            )?,
+            per_second: gauges(
+                "heatherknot_request_limits_per_second",
+                "Sum of the request limits of backend servers, by service",
+            )?,
+        })
+    }
+}
+
 /// Metrics of a daemon. Label values are service names, and outcomes and causes from the code,
 /// never anything that a caller sends.
 pub struct EdgeMetrics {
@@ -19,10 +64,8 @@
     pub latency: HistogramVec,
     /// Sends to backend servers by service and result.
     pub sends: IntCounterVec,
-    /// Sends to backend servers that state a request limit, by service.
-    pub sends_to_limited: IntCounterVec,
-    /// Number of backend servers that state a request limit, as far as this VM knows.
-    pub limited_servers: IntGauge,
+    /// Metrics of request limits.
+    pub limits: LimitMetrics,
     /// Requests that a backend server was running when it crashed, by service.
     pub requests_at_server_crash: IntCounterVec,
     /// Requests handed over to the home VMs of their servers, by result.
@@ -60,8 +103,6 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let lookups = IntCounter::new("heatherknot_lookups_total", "Look-ups answered")?;
-        registry.register(Box::new(lookups.clone()))?;
         Ok(Self {
             requests: counters(
                 "heatherknot_requests_total",
@@ -74,15 +115,7 @@
                 "Sends to backend servers by service and result",
                 &["service", "result"],
             )?,
-            sends_to_limited: counters(
-                "heatherknot_sends_to_limited_servers_total",
-                "Sends to backend servers that state a request limit, by service",
-                &["service"],
-            )?,
-            limited_servers: gauge(
-                "heatherknot_limited_servers",
-                "Backend servers that state a request limit",
-            )?,
+            limits: LimitMetrics::register(registry)?,
             requests_at_server_crash: counters(
                 "heatherknot_requests_at_server_ends_total",
                 "Requests that a backend server had when it ended, by service",
@@ -113,13 +146,19 @@
                 "Rollout stages written by this VM, by service and stage",
                 &["service", "stage"],
             )?,
-            lookups,
+            lookups: register_lookups(registry)?,
             catalog_version: gauge("heatherknot_config_version", "Configuration in force")?,
             vms: gauge("heatherknot_vms", "Known VMs that are alive")?,
         })
     }
 }
 
+fn register_lookups(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
+    let lookups = IntCounter::new("heatherknot_lookups_total", "Look-ups answered")?;
+    registry.register(Box::new(lookups.clone()))?;
+    Ok(lookups)
+}
+
 fn register_latency(registry: &Registry) -> Result<HistogramVec, prometheus::Error> {
     let opts = HistogramOpts::new(
         "heatherknot_request_seconds",
--- a/crates/edge/src/poison/guard.rs
+++ b/crates/edge/src/poison/guard.rs
@@ -73,6 +73,11 @@
     fingerprints.max_by_key(|fingerprint| suspects.verdict(fingerprint))
 }
 
+/// Returns whether servers may have crashed while running a request.
+pub(crate) fn is_suspected(cx: &EdgeContext, call: &Call) -> bool {
+    find_suspect(cx, call).is_some()
+}
+
 /// Reads the rest of a long body if the request may be a suspect, which only its whole body tells.
 pub(crate) async fn read_body_if_suspected(cx: &EdgeContext, call: &Call) {
     let may_be_suspect = {
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -223,6 +223,7 @@
         let vms = cx.vms.borrow().len();
         cx.max_vms_seen.set(cx.max_vms_seen.get().max(vms));
         cx.quota.record_vm_count(vms);
+        cx.request_limits.set_vm_counts(vms, cx.quota.most_vms());
     }
 }
 
@@ -247,7 +248,9 @@
     }
     cx.homes.vms_changed(&vms);
     *cx.feed_topology.borrow_mut() = Rc::new(FeedTopology::new(&vms));
-    *cx.vms.borrow_mut() = Rc::new(vms);
+    let vms = Rc::new(vms);
+    cx.request_limits.set_vms(&vms);
+    *cx.vms.borrow_mut() = vms;
 }
 
 /// Returns the list of VMs that membership uses, read from the entries in the local copy.
--- a/crates/edge/src/quota/state.rs
+++ b/crates/edge/src/quota/state.rs
@@ -94,6 +94,11 @@
         self.vm_count.borrow_mut().record(vms, self.timer.now());
     }
 
+    /// Returns the highest number of VMs that may be running; zero while it is unknown.
+    pub fn most_vms(&self) -> usize {
+        self.vm_count.borrow().peak()
+    }
+
     /// Returns whether the number of live VMs is known.
     pub fn knows_vms(&self) -> bool {
         self.vm_count.borrow().peak() > 0
--- a/crates/edge/src/request_limit/observed.rs
+++ b/crates/edge/src/request_limit/observed.rs
@@ -73,6 +73,10 @@
                 return Some(LimitChange::Stated);
             }
         };
+        if observation.received_at < known.sent_at {
+            // The server made this response before the one that is known.
+            return None;
+        }
         let rate = |limit: Option<f64>| limit.unwrap_or(f64::INFINITY);
         let is_looser = rate(observation.limit) > rate(known.limit);
         if is_looser && observation.sent_at < known.received_at + LOOSEN_DELAY {
--- a/crates/edge/src/request_limit/record.rs
+++ b/crates/edge/src/request_limit/record.rs
@@ -1,10 +1,14 @@
 //! Records the limits that responses of backend servers state.
 
+use std::rc::Rc;
+
 use heatherknot_types::prelude::*;
-use http::HeaderMap;
+use http::{HeaderMap, HeaderName};
 use log::{info, warn};
 
-use super::observed::{Observation, parse};
+use super::exchange;
+use super::observed::{LimitChange, Observation, parse};
+use super::state::RequestLimits;
 use crate::context::EdgeContext;
 use crate::upstream::Upstream;
 
@@ -14,16 +18,18 @@
 /// Records what a response says about its server's request limit. `is_genuine` says whether the
 /// response certainly comes from that server; only then does a missing header remove the limit.
 pub(crate) fn record_response(
-    cx: &EdgeContext,
-    upstream: &Upstream,
+    cx: &Rc<EdgeContext>,
+    upstream: &Rc<Upstream>,
     headers: &HeaderMap,
     sent_at: Millis,
     is_genuine: bool,
 ) {
-    let Ok(limit) = read_header(cx, upstream, headers) else {
+    let limits = &cx.request_limits;
+    let Ok(limit) = read_header(limits, upstream, headers, &cx.dialect.headers.request_limit)
+    else {
         return;
     };
-    if limit.is_none() && !is_genuine {
+    if limit.is_none() && !(is_genuine && upstream.is_limited()) {
         return;
     }
     let observation = Observation {
@@ -31,23 +37,32 @@
         sent_at,
         received_at: cx.now(),
     };
-    apply(cx, upstream, observation, "own response");
+    if apply(limits, upstream, observation, "own response").is_some() {
+        monoio::spawn(exchange::report(Rc::clone(cx), Rc::clone(upstream)));
+    }
 }
 
 /// Applies an observation and logs how it changed the limit; `source` says whose it is.
-pub(crate) fn apply(cx: &EdgeContext, upstream: &Upstream, observation: Observation, source: &str) {
-    let mut observed = upstream.request_limit.get();
+pub(super) fn apply(
+    limits: &RequestLimits,
+    upstream: &Upstream,
+    observation: Observation,
+    source: &str,
+) -> Option<LimitChange> {
+    let mut state = upstream.request_limit.borrow_mut();
+    if state.is_none() && observation.limit.is_none() {
+        return None;
+    }
+    let observed = &mut state.get_or_insert_default().observed;
     let before = observed.per_second();
-    let change = observed.apply(observation);
-    upstream.request_limit.set(observed);
-    let Some(change) = change else {
-        return;
-    };
-    if cx.request_limit_log.borrow_mut().try_take(cx.now()) {
+    let change = observed.apply(observation)?;
+    let now = limits.timer.now();
+    if limits.log_limit.borrow_mut().try_take(now) {
         info!(upstream:% = upstream.id, service:% = upstream.service, change = change.label(),
             limit:? = observation.limit, before:? = before, source,
-            age_ms = cx.now().since(observation.received_at).0; "request limit of a backend server changed");
+            age_ms = now.since(observation.received_at).0; "request limit of a backend server changed");
     }
+    Some(change)
 }
 
 /// Returns the limit that a response states, if any.
@@ -56,11 +71,11 @@
 ///
 /// Returns an error if the header is invalid; the limit known before then stays in force.
 fn read_header(
-    cx: &EdgeContext,
+    limits: &RequestLimits,
     upstream: &Upstream,
     headers: &HeaderMap,
+    name: &HeaderName,
 ) -> Result<Option<f64>, ()> {
-    let name = &cx.dialect.headers.request_limit;
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
         return Ok(None);
@@ -70,7 +85,7 @@
         None => value.to_str().map_err(|_| "not text").and_then(parse),
     };
     parsed.map(Some).map_err(|cause| {
-        if cx.request_limit_log.borrow_mut().try_take(cx.now()) {
+        if limits.log_limit.borrow_mut().try_take(limits.timer.now()) {
             let value = String::from_utf8_lossy(value.as_bytes());
             let value: String = value.chars().take(MAX_LOGGED_VALUE_CHARS).collect();
             warn!(upstream:% = upstream.id, value = value.as_str(), cause;
--- /dev/null
+++ b/crates/edge/src/request_limit/state.rs
@@ -0,0 +1,181 @@
+//! What a VM knows of the request limits of all backend servers, and the permits that it issues.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use heatherknot_types::prelude::*;
+
+use super::exchange::{PermitAnswer, PermitRequest};
+use super::issuer::PermitIssuer;
+use super::observed::ObservedLimit;
+use super::record;
+use crate::homes;
+use crate::log_limit::LogRateLimit;
+use crate::presence::VmEntry;
+use crate::routing_state::RoutingState;
+use crate::upstream::Upstream;
+
+/// How long a VM that got no permit for another reason than the limit waits before it asks again.
+pub(super) const RETRY_DELAY: Millis = Millis(250);
+
+/// The request limit of one run of a backend server that has stated one.
+#[derive(Debug, Default)]
+pub struct LimitState {
+    /// The limit as far as is known.
+    pub observed: ObservedLimit,
+    /// Until when this VM does not ask for a permit.
+    blocked_until: Millis,
+    /// Number of requests that got no permit on this VM.
+    held_back: u64,
+    /// Issues permits if this VM is the issuer of the server.
+    issuer: Option<PermitIssuer>,
+}
+
+/// This VM's part in enforcing request limits.
+pub struct RequestLimits {
+    pub(super) timer: Timer,
+    vm: VmName,
+    pub(super) routing_state: Rc<RefCell<RoutingState>>,
+    vms: RefCell<Rc<Vec<VmEntry>>>,
+    /// Issuer of each server that was looked up since the last change of the VMs.
+    issuers: RefCell<HashMap<UpstreamName, Option<VmName>>>,
+    /// The part of each limit that this VM may issue permits for.
+    share: Cell<f64>,
+    /// Limits the log lines about request limits.
+    pub(super) log_limit: RefCell<LogRateLimit>,
+}
+
+impl RequestLimits {
+    /// Creates the state of VM `vm`, which has just started.
+    pub fn new(timer: Timer, vm: VmName, routing_state: Rc<RefCell<RoutingState>>) -> Self {
+        Self {
+            timer,
+            vm,
+            routing_state,
+            vms: RefCell::default(),
+            issuers: RefCell::default(),
+            share: Cell::new(0.0),
+            log_limit: RefCell::default(),
+        }
+    }
+
+    /// Updates the issuers after a change of the live VMs.
+    pub(crate) fn set_vms(&self, vms: &Rc<Vec<VmEntry>>) {
+        self.issuers.borrow_mut().clear();
+        *self.vms.borrow_mut() = Rc::clone(vms);
+    }
+
+    /// Updates the part of each limit that issuers may use. `most` is the highest number of VMs
+    /// that may be running.
+    ///
+    /// The VMs that this one doesn't reach may have an issuer of their own. Each of the two issues
+    /// permits for the part of the VMs that it reaches.
+    pub(crate) fn set_vm_counts(&self, live: usize, most: usize) {
+        let share = match most {
+            0 => 0.0,
+            _ => live as f64 / most as f64,
+        };
+        self.share.set(share.min(1.0));
+    }
+
+    /// Returns the VM that issues the permits of a server.
+    pub(super) fn issuer_of(&self, upstream: &Upstream) -> Option<VmName> {
+        let mut issuers = self.issuers.borrow_mut();
+        if let Some(issuer) = issuers.get(&upstream.id) {
+            return issuer.clone();
+        }
+        let issuer = homes::find_issuer(upstream, &self.vms.borrow());
+        issuers.insert(upstream.id.clone(), issuer.clone());
+        issuer
+    }
+
+    /// Returns whether this VM issues the permits of a server.
+    pub(super) fn is_issuer(&self, upstream: &Upstream) -> bool {
+        self.issuer_of(upstream).as_ref() == Some(&self.vm)
+    }
+
+    /// Issues a permit for a request to a server, or returns when to ask again.
+    pub(super) fn issue(&self, upstream: &Upstream) -> Result<(), Millis> {
+        if !self.is_issuer(upstream) {
+            return Err(RETRY_DELAY);
+        }
+        let now = self.timer.now();
+        let mut state = upstream.request_limit.borrow_mut();
+        let Some(state) = state.as_mut() else {
+            return Ok(());
+        };
+        let Some(per_second) = state.observed.per_second() else {
+            return Ok(());
+        };
+        match self.share.get() {
+            share if share > 0.0 => state.issuer(now).issue(per_second, share, now),
+            _ => Err(RETRY_DELAY),
+        }
+    }
+
+    /// Handles another VM's report of a limit, and its request for a permit.
+    pub(super) fn answer(&self, req: &PermitRequest) -> PermitAnswer {
+        let Some(upstream) = self.find_run(&req.upstream, req.started_at) else {
+            return PermitAnswer::denied(RETRY_DELAY);
+        };
+        let now = self.timer.now();
+        record::apply(self, &upstream, req.report.to_observation(now), "peer");
+        let result = match req.wants_permit {
+            true => self.issue(&upstream),
+            false => Err(RETRY_DELAY),
+        };
+        PermitAnswer::new(result, &upstream, now)
+    }
+
+    /// Returns a run of a backend server.
+    pub(super) fn find_run(
+        &self,
+        id: &UpstreamName,
+        started_at: Option<Millis>,
+    ) -> Option<Rc<Upstream>> {
+        let routing_state = self.routing_state.borrow();
+        let upstream = routing_state.upstream(id);
+        upstream
+            .filter(|upstream| upstream.started_at == started_at)
+            .cloned()
+    }
+}
+
+impl LimitState {
+    fn issuer(&mut self, now: Millis) -> &mut PermitIssuer {
+        self.issuer.get_or_insert_with(|| PermitIssuer::new(now))
+    }
+
+    /// Returns whether the server has a limit.
+    pub fn is_limited(&self) -> bool {
+        self.observed.per_second().is_some()
+    }
+
+    /// Returns whether this VM got no permit and is to wait before it asks again.
+    pub fn is_blocked(&self, now: Millis) -> bool {
+        self.is_limited() && now < self.blocked_until
+    }
+
+    /// Returns the time until which this VM does not ask for a permit.
+    pub fn blocked_until(&self) -> Millis {
+        self.blocked_until
+    }
+
+    /// Records that a request got no permit, and when to ask again.
+    pub fn record_denial(&mut self, wait: Millis, now: Millis) {
+        self.blocked_until = self.blocked_until.max(now + wait);
+        self.held_back += 1;
+    }
+
+    /// Returns the number of requests that got no permit on this VM.
+    pub fn held_back(&self) -> u64 {
+        self.held_back
+    }
+
+    /// Returns the number of permits that this VM issued lately, if it issues any.
+    pub fn recently_issued(&mut self, now: Millis) -> Option<u32> {
+        let issuer = self.issuer.as_mut()?;
+        Some(issuer.recently_issued(now))
+    }
+}
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -106,6 +106,9 @@
             expected_ms = best.response_ms as u64, load = best.load,
             load_age_ms = best.load_age.0; "the best backend server would respond too late");
     }
+    if let Some((upstream, limit)) = &history.limited_by {
+        info!(id, upstream:% = upstream, limit; "request held back by the limit of a backend server");
+    }
     let account = call
         .account
         .as_ref()
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -108,6 +108,11 @@
         is_news
     }
 
+    /// Returns the current run of a backend server.
+    pub fn upstream(&self, id: &UpstreamName) -> Option<&Rc<Upstream>> {
+        self.upstreams.get(id)
+    }
+
     /// Returns all backend servers.
     pub fn all_upstreams(&self) -> impl Iterator<Item = &Rc<Upstream>> {
         self.upstreams.values()
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -44,6 +44,8 @@
     Ahead,
     /// Requests during which servers crashed are suspected, and rejected after three such crashes.
     Poison,
+    /// Request limits that backend servers state are enforced.
+    RequestLimits,
 }
 
 /// The set of mechanisms that are switched on.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -11,7 +11,7 @@
 use crate::ewma::{Ewma, decay};
 use crate::poison::crash::CrashProbe;
 use crate::registration::Registration;
-use crate::request_limit::observed::ObservedLimit;
+use crate::request_limit::state::LimitState;
 use crate::rollout::versions::VersionRole;
 
 /// Maximum number of objects remembered per backend server. Servers cache tens of objects at most,
@@ -68,8 +68,8 @@
     pub unrestricted_share: Cell<f64>,
     /// When it registered, on this process's clock.
     pub registered_at: Millis,
-    /// Its request limit, if it states one.
-    pub request_limit: Cell<ObservedLimit>,
+    /// Its request limit, if it has stated one.
+    pub request_limit: RefCell<Option<Box<LimitState>>>,
     /// The latest probe of whether the server has crashed.
     pub(crate) crash_probe: RefCell<Option<CrashProbe>>,
     in_flight: Cell<u32>,
@@ -145,7 +145,7 @@
             is_presumed_cold: Cell::new(false),
             unrestricted_share: Cell::new(1.0),
             registered_at: clock.now(),
-            request_limit: Cell::default(),
+            request_limit: RefCell::default(),
             crash_probe: RefCell::default(),
             in_flight: Cell::new(0),
             other_load: Ewma::default(),
@@ -170,6 +170,18 @@
         now < self.cold_until.get()
     }
 
+    /// Returns whether the server has a request limit.
+    pub fn is_limited(&self) -> bool {
+        let state = self.request_limit.borrow();
+        state.as_ref().is_some_and(|state| state.is_limited())
+    }
+
+    /// Returns whether this VM got no permit for the server and is to wait before it asks again.
+    pub fn is_blocked_by_limit(&self, now: Millis) -> bool {
+        let state = self.request_limit.borrow();
+        state.as_ref().is_some_and(|state| state.is_blocked(now))
+    }
+
     /// Returns whether the server may be tried at `now`. After a failure it gets one request at a
     /// time until it responds.
     pub fn is_reachable(&self, now: Millis) -> bool {
