--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -444,6 +444,8 @@
     monoio::spawn(poison::records::run(Rc::clone(cx)));
     monoio::spawn(rollout::exchange::run(Rc::clone(cx)));
     monoio::spawn(rollout::writer::run(Rc::clone(cx)));
+    monoio::spawn(request_limit::run(Rc::clone(cx)));
+    monoio::spawn(request_limit::fetch_from_peers(Rc::clone(cx)));
     monoio::spawn(tick(Rc::clone(cx)));
     cx.membership.run(cx.net.clone());
 }
--- a/crates/edge/src/request_limit/record.rs
+++ b/crates/edge/src/request_limit/record.rs
@@ -4,10 +4,10 @@
 
 use heatherknot_types::prelude::*;
 use http::{HeaderMap, HeaderName};
-use log::{info, warn};
+use log::warn;
 
 use super::exchange;
-use super::observed::{LimitChange, Observation, parse};
+use super::observed::{Observation, parse};
 use super::state::RequestLimits;
 use crate::context::EdgeContext;
 use crate::upstream::Upstream;
@@ -37,34 +37,14 @@
         sent_at,
         received_at: cx.now(),
     };
-    if apply(limits, upstream, observation, "own response").is_some() {
+    if limits
+        .observe(upstream, observation, "own response")
+        .is_some()
+    {
         monoio::spawn(exchange::report(Rc::clone(cx), Rc::clone(upstream)));
     }
 }
 
-/// Applies an observation and logs how it changed the limit; `source` says whose it is.
-pub(super) fn apply(
-    limits: &RequestLimits,
-    upstream: &Upstream,
-    observation: Observation,
-    source: &str,
-) -> Option<LimitChange> {
-    let mut state = upstream.request_limit.borrow_mut();
-    if state.is_none() && observation.limit.is_none() {
-        return None;
-    }
-    let observed = &mut state.get_or_insert_default().observed;
-    let before = observed.per_second();
-    let change = observed.apply(observation)?;
-    let now = limits.timer.now();
-    if limits.log_limit.borrow_mut().try_take(now) {
-        info!(upstream:% = upstream.id, service:% = upstream.service, change = change.label(),
-            limit:? = observation.limit, before:? = before, source,
-            age_ms = now.since(observation.received_at).0; "request limit of a backend server changed");
-    }
-    Some(change)
-}
-
 /// Returns the limit that a response states, if any.
 ///
 /// # Errors
--- a/crates/edge/src/request_limit/state.rs
+++ b/crates/edge/src/request_limit/state.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 
 use heatherknot_types::prelude::*;
+use log::info;
 
-use super::exchange::{PermitAnswer, PermitRequest};
 use super::issuer::PermitIssuer;
-use super::observed::ObservedLimit;
-use super::record;
+use super::messages::{PermitAnswer, PermitRequest};
+use super::observed::{LimitChange, Observation, ObservedLimit};
+use super::outbox::Outbox;
 use crate::homes;
 use crate::log_limit::LogRateLimit;
 use crate::presence::VmEntry;
@@ -36,12 +37,14 @@
 pub struct RequestLimits {
     pub(super) timer: Timer,
     vm: VmName,
-    pub(super) routing_state: Rc<RefCell<RoutingState>>,
+    routing_state: Rc<RefCell<RoutingState>>,
     vms: RefCell<Rc<Vec<VmEntry>>>,
     /// Issuer of each server that was looked up since the last change of the VMs.
     issuers: RefCell<HashMap<UpstreamName, Option<VmName>>>,
     /// The part of each limit that this VM may issue permits for.
     share: Cell<f64>,
+    /// Servers of which other VMs are to be told, and to which VMs.
+    pub(super) outbox: RefCell<Outbox>,
     /// Limits the log lines about request limits.
     pub(super) log_limit: RefCell<LogRateLimit>,
 }
@@ -55,13 +58,14 @@
             routing_state,
             vms: RefCell::default(),
             issuers: RefCell::default(),
+            outbox: RefCell::default(),
             share: Cell::new(0.0),
             log_limit: RefCell::default(),
         }
     }
 
     /// Updates the issuers after a change of the live VMs.
-    pub(crate) fn set_vms(&self, vms: &Rc<Vec<VmEntry>>) {
+    pub fn set_vms(&self, vms: &Rc<Vec<VmEntry>>) {
         self.issuers.borrow_mut().clear();
         *self.vms.borrow_mut() = Rc::clone(vms);
     }
@@ -71,7 +75,7 @@
     ///
     /// The VMs that this one doesn't reach may have an issuer of their own. Each of the two issues
     /// permits for the part of the VMs that it reaches.
-    pub(crate) fn set_vm_counts(&self, live: usize, most: usize) {
+    pub fn set_vm_counts(&self, live: usize, most: usize) {
         let share = match most {
             0 => 0.0,
             _ => live as f64 / most as f64,
@@ -80,7 +84,7 @@
     }
 
     /// Returns the VM that issues the permits of a server.
-    pub(super) fn issuer_of(&self, upstream: &Upstream) -> Option<VmName> {
+    pub fn issuer_of(&self, upstream: &Upstream) -> Option<VmName> {
         let mut issuers = self.issuers.borrow_mut();
         if let Some(issuer) = issuers.get(&upstream.id) {
             return issuer.clone();
@@ -91,12 +95,16 @@
     }
 
     /// Returns whether this VM issues the permits of a server.
-    pub(super) fn is_issuer(&self, upstream: &Upstream) -> bool {
+    fn is_issuer(&self, upstream: &Upstream) -> bool {
         self.issuer_of(upstream).as_ref() == Some(&self.vm)
     }
 
-    /// Issues a permit for a request to a server, or returns when to ask again.
-    pub(super) fn issue(&self, upstream: &Upstream) -> Result<(), Millis> {
+    /// Issues a permit for a request to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which to ask again if there is no permit.
+    pub fn issue(&self, upstream: &Upstream) -> Result<(), Millis> {
         if !self.is_issuer(upstream) {
             return Err(RETRY_DELAY);
         }
@@ -115,12 +123,12 @@
     }
 
     /// Handles another VM's report of a limit, and its request for a permit.
-    pub(super) fn answer(&self, req: &PermitRequest) -> PermitAnswer {
+    pub fn answer(&self, req: &PermitRequest) -> PermitAnswer {
         let Some(upstream) = self.find_run(&req.upstream, req.started_at) else {
-            return PermitAnswer::denied(RETRY_DELAY);
+            return PermitAnswer::unknown_server(RETRY_DELAY);
         };
         let now = self.timer.now();
-        record::apply(self, &upstream, req.report.to_observation(now), "peer");
+        self.observe(&upstream, req.observation(now), "peer");
         let result = match req.wants_permit {
             true => self.issue(&upstream),
             false => Err(RETRY_DELAY),
@@ -128,12 +136,80 @@
         PermitAnswer::new(result, &upstream, now)
     }
 
-    /// Returns a run of a backend server.
-    pub(super) fn find_run(
+    /// Applies the answer of the issuer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which to ask again if there is no permit.
+    pub fn apply_answer(&self, upstream: &Upstream, answer: &PermitAnswer) -> Result<(), Millis> {
+        if let Some(observation) = answer.observation(self.timer.now()) {
+            self.observe(upstream, observation, "issuer");
+        }
+        answer.wait.map_or(Ok(()), Err)
+    }
+
+    /// Applies an observation of a server's limit and logs how it changed the limit; `source` says
+    /// whose observation it is.
+    pub fn observe(
         &self,
-        id: &UpstreamName,
-        started_at: Option<Millis>,
-    ) -> Option<Rc<Upstream>> {
+        upstream: &Upstream,
+        observation: Observation,
+        source: &str,
+    ) -> Option<LimitChange> {
+        let mut state = upstream.request_limit.borrow_mut();
+        if state.is_none() && observation.limit.is_none() {
+            return None;
+        }
+        let observed = &mut state.get_or_insert_default().observed;
+        let before = observed.per_second();
+        let change = observed.apply(observation)?;
+        let is_announced = matches!(change, LimitChange::Stated | LimitChange::Removed);
+        if is_announced && self.is_issuer(upstream) {
+            self.outbox.borrow_mut().announce(&upstream.id);
+        }
+        let now = self.timer.now();
+        if self.log_limit.borrow_mut().try_take(now) {
+            info!(upstream:% = upstream.id, service:% = upstream.service, change = change.label(),
+                limit:? = observation.limit, before:? = before, source,
+                age_ms = now.since(observation.received_at).0; "request limit of a backend server changed");
+        }
+        Some(change)
+    }
+
+    /// Applies what another VM tells of limits; `is_relay` says whether this VM is to tell the VMs of
+    /// its domain.
+    pub fn receive(&self, reports: &[PermitRequest], is_relay: bool) {
+        for report in reports {
+            self.answer(report);
+            if is_relay {
+                self.outbox.borrow_mut().relay(&report.upstream);
+            }
+        }
+    }
+
+    /// Returns what this VM knows of the limits of some servers.
+    pub fn reports_of(&self, ids: &[UpstreamName]) -> Vec<PermitRequest> {
+        let routing_state = self.routing_state.borrow();
+        let upstreams = ids.iter().filter_map(|id| routing_state.upstream(id));
+        let now = self.timer.now();
+        let reports = upstreams.filter_map(|u| PermitRequest::new(u, false, now));
+        reports.collect()
+    }
+
+    /// Returns the servers with a limit, at most `most` of them.
+    pub(super) fn limited_servers(&self, most: usize) -> Vec<UpstreamName> {
+        let routing_state = self.routing_state.borrow();
+        let limited = routing_state.all_upstreams().filter(|u| u.is_limited());
+        limited.map(|u| u.id.clone()).take(most).collect()
+    }
+
+    /// Removes and returns servers whose limits all VMs are to be told, for a test without peers.
+    pub fn take_announcements(&self) -> Vec<UpstreamName> {
+        self.outbox.borrow_mut().take_announced()
+    }
+
+    /// Returns a run of a backend server.
+    fn find_run(&self, id: &UpstreamName, started_at: Option<Millis>) -> Option<Rc<Upstream>> {
         let routing_state = self.routing_state.borrow();
         let upstream = routing_state.upstream(id);
         upstream
