Show operators the request limits of backend servers

heatherknot limits sums up what the asked daemons sent to each limited server in the last four seconds, the permits issued and the requests held back, as a table or JSON, from the page /limits of the metrics address.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -47,6 +47,8 @@
     Accounts,
     /// Lists requests during which backend servers ended.
     Rejected,
+    /// Lists the request limits that backend servers state.
+    Limits,
     /// Lists the rollouts of services' versions.
     Rollouts,
     /// Allows rejected requests to run again.
@@ -108,7 +110,7 @@
 }
 
 /// Every command, in the order of [`Command`], which is also that of the help.
-pub static COMMANDS: [CommandSpec; 23] = [
+pub static COMMANDS: [CommandSpec; 24] = [
     spec(
         Command::Get,
         "get",
@@ -277,6 +279,14 @@
         &[],
         "List the requests under which backend servers ended, and which are rejected for it; ADDRESS is a daemon's for metrics.",
     ),
+    spec(
+        Command::Limits,
+        "limits",
+        "ADDRESS...",
+        (1, MAX_DAEMONS),
+        &[],
+        "List the backend servers that state how many requests per second they take, what they got from the daemons asked and what was held back; ADDRESS is a daemon's for metrics.",
+    ),
     spec(
         Command::Rollouts,
         "rollouts",
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod change;
 mod key;
+mod limits;
 mod logs;
 mod losses;
 mod metrics_address;
@@ -39,6 +40,7 @@
         Command::Losses => return losses::losses(invocation),
         Command::Accounts => return accounts::accounts(invocation),
         Command::Rejected => return rejected::rejected(invocation),
+        Command::Limits => return limits::limits(invocation),
         Command::Rollouts => return rollouts::rollouts(invocation),
         Command::Release => return rejected::release(invocation, env),
         _ => {}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -164,10 +164,7 @@
     let Some(head) = outgoing_head(cx, call, candidate, sent) else {
         return SendOutcome::NotSent("its server's identifier is no header value");
     };
-    if upstream.is_limited() {
-        let counter = &cx.metrics.limits.sends;
-        counter.with_label_values(&[call.service.as_str()]).inc();
-    }
+    request_limit::record::record_send(cx, upstream);
     let in_flight = upstream.start_request();
     let options = SendOptions {
         deadline: Some(call.deadline),
--- a/crates/edge/src/request_limit/issuer.rs
+++ b/crates/edge/src/request_limit/issuer.rs
@@ -15,7 +15,7 @@
 /// Longest wait that a VM without a permit is told. It bounds how long a VM doesn't notice that the
 /// server takes more again.
 const MAX_WAIT: Millis = Millis(1_000);
-/// Window over which issued permits are counted for operators.
+/// Window over which sends and permits are counted for operators.
 pub const COUNT_WINDOW: Millis = Millis(4_000);
 
 /// A token bucket of permits.
--- a/crates/edge/src/request_limit/record.rs
+++ b/crates/edge/src/request_limit/record.rs
@@ -15,6 +15,18 @@
 /// Maximum length of an invalid value in the log, in characters.
 const MAX_LOGGED_VALUE_CHARS: usize = 40;
 
+/// Counts a send if its server has a request limit.
+pub(crate) fn record_send(cx: &EdgeContext, upstream: &Upstream) {
+    let mut state = upstream.request_limit.borrow_mut();
+    if let Some(state) = state.as_mut().filter(|state| state.is_limited()) {
+        state.record_send(cx.now());
+        let counter = &cx.metrics.limits.sends;
+        counter
+            .with_label_values(&[upstream.service.as_str()])
+            .inc();
+    }
+}
+
 /// Records what a response says about its server's request limit. `is_genuine` says whether the
 /// response certainly comes from that server; only then does a missing header remove the limit.
 pub(crate) fn record_response(
--- a/crates/edge/src/request_limit/state.rs
+++ b/crates/edge/src/request_limit/state.rs
@@ -7,7 +7,7 @@
 use heatherknot_types::prelude::*;
 use log::info;
 
-use super::issuer::PermitIssuer;
+use super::issuer::{COUNT_WINDOW, PermitIssuer};
 use super::messages::{PermitAnswer, PermitRequest};
 use super::observed::{LimitChange, Observation, ObservedLimit};
 use super::outbox::Outbox;
@@ -16,12 +16,13 @@
 use crate::presence::VmEntry;
 use crate::routing_state::RoutingState;
 use crate::upstream::Upstream;
+use crate::window::SlidingWindow;
 
 /// How long a VM that got no permit for another reason than the limit waits before it asks again.
 pub(super) const RETRY_DELAY: Millis = Millis(250);
 
 /// The request limit of one run of a backend server that has stated one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LimitState {
     /// The limit as far as is known.
     pub observed: ObservedLimit,
@@ -29,6 +30,8 @@
     blocked_until: Millis,
     /// Number of requests that got no permit on this VM.
     held_back: u64,
+    /// This VM's recent sends to the server.
+    sends: SlidingWindow,
     /// Issues permits if this VM is the issuer of the server.
     issuer: Option<PermitIssuer>,
 }
@@ -218,6 +221,18 @@
     }
 }
 
+impl Default for LimitState {
+    fn default() -> Self {
+        Self {
+            observed: ObservedLimit::default(),
+            blocked_until: Millis(0),
+            held_back: 0,
+            sends: SlidingWindow::new(COUNT_WINDOW),
+            issuer: None,
+        }
+    }
+}
+
 impl LimitState {
     fn issuer(&mut self, now: Millis) -> &mut PermitIssuer {
         self.issuer.get_or_insert_with(|| PermitIssuer::new(now))
@@ -249,6 +264,16 @@
         self.held_back
     }
 
+    /// Records that this VM sends a request to the server.
+    pub fn record_send(&mut self, now: Millis) {
+        self.sends.add(now, 1.0);
+    }
+
+    /// Returns the number of requests that this VM sent in the last [`COUNT_WINDOW`].
+    pub fn recently_sent(&mut self, now: Millis) -> u32 {
+        self.sends.total(now) as u32
+    }
+
     /// Returns the number of permits that this VM issued lately, if it issues any.
     pub fn recently_issued(&mut self, now: Millis) -> Option<u32> {
         let issuer = self.issuer.as_mut()?;
--- a/crates/edge/src/request_limit/status.rs
+++ b/crates/edge/src/request_limit/status.rs
@@ -27,6 +27,8 @@
     pub age_ms: Millis,
     /// The VM that issues the permits, as far as this VM knows.
     pub issuer: Option<VmName>,
+    /// Requests that this VM sent to it in the last four seconds.
+    pub sent: u32,
     /// Permits issued to all VMs in the last four seconds, if this VM issues them.
     pub issued: Option<u32>,
     /// Number of times that a request got no permit on this VM.
@@ -55,6 +57,7 @@
         per_second: latest.limit?,
         age_ms: now.since(latest.received_at),
         issuer,
+        sent: state.recently_sent(now),
         issued: state.recently_issued(now).filter(|_| is_issuer),
         held_back: state.held_back(),
     })
