Ask peers for the known limits only once a starting VM knows the servers

A limit belongs to a run of a server. A VM that asked before it had read the servers' entries dropped the answer and knew no limit. The new test of a VM that starts failed so, and passes now.

--- a/crates/edge/src/request_limit/announce.rs
+++ b/crates/edge/src/request_limit/announce.rs
@@ -27,6 +27,8 @@
 const CALL_TIMEOUT: Millis = Millis(800);
 /// Maximum number of limits that a starting VM is told; about 100 KB.
 const MAX_LISTED: usize = 1_024;
+/// Interval at which a starting VM checks whether it knows the servers.
+const READY_POLL_INTERVAL: Millis = Millis(50);
 /// Interval and number of attempts of a starting VM to learn the known limits.
 const FETCH_INTERVAL: Millis = Millis(250);
 const FETCH_ATTEMPTS: u32 = 12;
@@ -120,6 +122,10 @@
 
 /// Asks peers for the known limits after the start of this VM, until one answers.
 pub(crate) async fn fetch_from_peers(cx: Rc<EdgeContext>) {
+    // A limit belongs to a run of a server, so the servers have to be known first.
+    while !cx.is_ready() {
+        cx.timer.wait(READY_POLL_INTERVAL).await;
+    }
     for _ in 0..FETCH_ATTEMPTS {
         for vm in list_sources(&cx) {
             match call::<_, Vec<PermitRequest>>(&cx, &vm, LIST_METHOD, &()).await {
