Let servers of the soak state request limits

Three of four servers of a service state limits from 0.2 to 6.4 requests per second and change them while VMs are killed, stopped, paused and cut off. The soak checks every window of four seconds at each server against what the platform allows, over all daemons. One daemon hands no requests over, so that both ways to a server are played.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -8,6 +8,8 @@
 mod callers;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/limits.rs"]
+mod limits;
 #[path = "soak/mortal.rs"]
 mod mortal;
 #[path = "soak/rollouts.rs"]
@@ -19,6 +21,7 @@
 
 use callers::Callers;
 use fleet::Fleet;
+use limits::LimitCallers;
 use mortal::Bringer;
 use rollouts::RolloutCaller;
 
@@ -68,6 +71,7 @@
     let callers = Callers::start(&fleet, seed);
     let bringer = Bringer::start(fleet.addresses(), seed);
     let rollout_caller = RolloutCaller::start(fleet.addresses(), seed);
+    let limit_callers = LimitCallers::start(&fleet.addresses(), seed);
     let began = Instant::now();
     while began.elapsed() < FAULTS_FOR {
         fleet.strike(&mut rng);
@@ -82,6 +86,7 @@
     }
     bringer.stop();
     rollout_caller.stop();
+    limit_callers.stop();
     let mut broken = fleet.broken();
     if !fleet.all_serve() {
         broken.push(format!(
--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -8,6 +8,7 @@
 
 use serde_json::json;
 
+use crate::limits::{self, LimitedServers};
 use crate::mortal::{self, Mortals};
 use crate::rollouts::{self, Rollout};
 use crate::support::caller::{Connection, new_id};
@@ -75,6 +76,7 @@
     servers: Vec<Server>,
     mortals: Mortals,
     rollout: Rollout,
+    limited: LimitedServers,
     vms: Vec<Vm>,
     version: u32,
     broken: Vec<String>,
@@ -95,6 +97,7 @@
             seed,
             mortals: Mortals::start(&store, DOMAINS),
             rollout: Rollout::start(&store, DOMAINS, seed),
+            limited: LimitedServers::start(&store, DOMAINS, seed),
             store,
             servers,
             vms: Vec::new(),
@@ -125,6 +128,7 @@
     pub fn broken(&mut self) -> Vec<String> {
         self.broken.extend(self.mortals.broken());
         self.broken.extend(self.rollout.broken());
+        self.broken.extend(self.limited.broken());
         std::mem::take(&mut self.broken)
     }
 
@@ -164,8 +168,9 @@
         let name = format!("vm-{number}");
         let seeds: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.at.peers).collect();
         let mut cfg = settings(&name, DOMAINS[number % 2], &at, proxy.address, &seeds);
-        // So few daemons would keep connections to all backend servers themselves.
-        cfg["hand_over_below"] = json!(HAND_OVER_ALWAYS);
+        // So few daemons would keep connections to all backend servers themselves. The last one does.
+        let hands_over = number + 1 < DAEMONS;
+        cfg["hand_over_below"] = json!(if hands_over { HAND_OVER_ALWAYS } else { 0.0 });
         let file = Self::logs(self.seed).join(format!("{name}.json"));
         std::fs::write(&file, cfg.to_string()).expect("the directory can be written");
         Vm {
@@ -205,6 +210,7 @@
             ("/once/", "unsafe", "gallery"),
             (mortal::PREFIX, "safe", mortal::SERVICE),
             (rollouts::PREFIX, "safe", rollouts::SERVICE),
+            (limits::PREFIX, "safe", limits::SERVICE),
         ];
         let accounts = ACCOUNTS.map(|(name, key, per_second)| TestAccount {
             per_second,
@@ -256,6 +262,7 @@
     pub fn step(&mut self) {
         self.mortals.step(&self.store);
         self.rollout.step(&self.store);
+        self.limited.step();
         for number in 0..DAEMONS {
             let vm = &mut self.vms[number];
             if vm.paused_until.is_some_and(|until| Instant::now() >= until) {
--- a/crates/edge/src/request_limit/status.rs
+++ b/crates/edge/src/request_limit/status.rs
@@ -46,15 +46,16 @@
 
 fn status_of(cx: &EdgeContext, upstream: &Rc<Upstream>) -> Option<LimitStatus> {
     let now = cx.now();
-    let issuer = cx.request_limits.issuer_of(upstream);
     let mut state = upstream.request_limit.borrow_mut();
     let state = state.as_mut()?;
     let latest = state.observed.latest()?;
+    let per_second = latest.limit?;
+    let issuer = cx.request_limits.issuer_of(upstream);
     let is_issuer = issuer.as_ref() == Some(&cx.cfg.vm);
     Some(LimitStatus {
         upstream: upstream.id.clone(),
         service: upstream.service.clone(),
-        per_second: latest.limit?,
+        per_second,
         age_ms: now.since(latest.received_at),
         issuer,
         sent: state.recently_sent(now),
