Issue permits in advance while a limit is not used up, and a full burst for a new limit

Two faults of the permits, found by the model with limits far above the load: every request asked the issuer, a round trip each, and when all servers of a service stated limits, all requests of the first half second were refused, because each new issuer waited as after a takeover. A VM now gets a quarter of the remaining permits in advance, for a second; while the limit is used up hardly any remain. Only an issuer that takes a known limit over waits.

The test failed before: requests refused in the first half second.

--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -58,6 +58,13 @@
     pub(crate) limited: bool,
 }
 
+impl Exclusions<'_> {
+    /// Returns whether a server's request limit keeps the request from it.
+    fn is_held_back(&self, upstream: &Upstream, now: Millis) -> bool {
+        upstream.is_blocked_by_limit(now) || (self.limited && upstream.is_limited())
+    }
+}
+
 /// Selects the server for a request that may not be sent to the servers in `excluded`.
 ///
 /// # Errors
@@ -204,7 +211,8 @@
         return warm;
     }
     let choices = version_choices(cx, call, excluded.tried).into_iter();
-    let cold = choices.flat_map(|choice| eligible(cx, call, excluded, choice, now, |_| true));
+    let is_free = |u: &Upstream| !excluded.is_held_back(u, now);
+    let cold = choices.flat_map(|choice| eligible(cx, call, excluded, choice, now, is_free));
     let may = |u: &Rc<Upstream>| claim_cold_send(cx, call, u, now);
     cold.into_iter().find(may).into_iter().collect()
 }
@@ -228,13 +236,14 @@
     now: Millis,
 ) -> Vec<Rc<Upstream>> {
     let choices = version_choices(cx, call, excluded.tried).into_iter();
-    let warm = choices.map(|choice| eligible(cx, call, excluded, choice, now, |u| !u.is_cold(now)));
+    let is_free = |u: &Upstream| !u.is_cold(now) && !excluded.is_held_back(u, now);
+    let warm = choices.map(|choice| eligible(cx, call, excluded, choice, now, is_free));
     let mut non_empty = warm.filter(|servers| !servers.is_empty());
     non_empty.next().unwrap_or_default()
 }
 
-/// Returns the servers matching `wanted` of the versions `choice` that may run the request, are
-/// reachable and are not blocked by their request limits.
+/// Returns the servers matching `wanted` of the versions `choice` that may run the request and are
+/// reachable.
 fn eligible(
     cx: &EdgeContext,
     call: &Call,
@@ -242,39 +251,20 @@
     choice: VersionChoice,
     now: Millis,
     wanted: impl Fn(&Upstream) -> bool,
-) -> Vec<Rc<Upstream>> {
-    let is_free = |u: &Upstream| !is_held_back(excluded, u, now);
-    let in_service = in_service(cx, call, excluded, choice, now);
-    let eligible = in_service.into_iter().filter(|u| wanted(u) && is_free(u));
-    eligible.collect()
-}
-
-/// Returns whether a server's request limit keeps the request from it.
-fn is_held_back(excluded: &Exclusions<'_>, upstream: &Upstream, now: Millis) -> bool {
-    upstream.is_blocked_by_limit(now) || (excluded.limited && upstream.is_limited())
-}
-
-/// Returns the servers of the versions `choice` that may run the request and are reachable, whether
-/// or not their request limits are used up.
-fn in_service(
-    cx: &EdgeContext,
-    call: &Call,
-    excluded: &Exclusions<'_>,
-    choice: VersionChoice,
-    now: Millis,
 ) -> Vec<Rc<Upstream>> {
     let has_version = cx.rollouts.filter(&call.service, choice);
     let routing_state = cx.routing_state.borrow();
     let all = routing_state.upstreams(&call.service);
-    let in_service = all.iter().filter(|u| {
+    let eligible = all.iter().filter(|u| {
         u.accepts_requests()
             && has_version(u)
+            && wanted(u)
             && !routing_state.is_evacuated(&u.domain)
             && call.regions.allows(&u.region)
             && u.is_reachable(now)
             && !excluded.tried.contains(&u.id)
     });
-    in_service.cloned().collect()
+    eligible.cloned().collect()
 }
 
 /// Refuses a request that only request limits keep from being sent. Returns `None` if none does.
@@ -288,18 +278,17 @@
     now: Millis,
 ) -> Option<Refusal> {
     let choices = version_choices(cx, call, excluded.tried).into_iter();
-    let in_service = choices.flat_map(|choice| in_service(cx, call, excluded, choice, now));
-    let held_back: Vec<_> = in_service
-        .filter(|u| is_held_back(excluded, u, now))
-        .collect();
-    let limits = held_back.iter().filter_map(|u| {
+    let is_held_back = |u: &Upstream| excluded.is_held_back(u, now);
+    let held_back =
+        choices.flat_map(|choice| eligible(cx, call, excluded, choice, now, is_held_back));
+    let limits = held_back.filter_map(|u| {
         let state = u.request_limit.borrow();
         let state = state.as_ref()?;
         let per_second = state.observed.per_second()?;
-        Some((state.blocked_until(), per_second, u))
+        Some((state.blocked_until(), per_second, u.id.clone()))
     });
-    let limits: Vec<_> = limits.collect();
-    let (first_at, per_second, first) = *limits.iter().min_by_key(|(at, ..)| *at)?;
+    let limits: Vec<(Millis, f64, UpstreamName)> = limits.collect();
+    let (first_at, per_second, first) = limits.iter().min_by_key(|(at, ..)| *at)?;
     let rates = limits
         .iter()
         .map(|(_, limit, _)| permits_per_second(*limit));
@@ -309,7 +298,7 @@
     let draw = cx.rng.borrow_mut().f64();
     let mut returns = call.state.limit_returns.borrow_mut();
     Some(Refusal {
-        limited_by: Some((first.id.clone(), per_second)),
+        limited_by: Some((first.clone(), *per_second)),
         ..refuse(
             "the request limits of the backend servers are used up",
             returns.next(first_at.since(now), longest, interval_ms, draw, now),
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -70,11 +70,12 @@
 /// home VM if there is one, else the first-ranked VM nearest to the server. All VMs with the same
 /// `vms` compute the same one.
 pub fn find_issuer(upstream: &Upstream, vms: &[VmEntry]) -> Option<VmName> {
-    let distance = |vm: &VmEntry| match () {
-        () if vm.domain == upstream.domain && vm.handed.is_some() => 0,
-        () if vm.domain == upstream.domain => 1,
-        () if vm.region == upstream.region => 2,
-        () => 3,
+    let distance = |vm: &VmEntry| {
+        if vm.domain == upstream.domain {
+            u8::from(vm.handed.is_none())
+        } else {
+            2 + u8::from(vm.region != upstream.region)
+        }
     };
     let nearest = vms.iter().map(distance).min()?;
     let candidates = vms.iter().filter(|vm| distance(vm) == nearest);
--- a/crates/edge/src/request_limit/gate.rs
+++ b/crates/edge/src/request_limit/gate.rs
@@ -27,13 +27,16 @@
         return Admission::Immediate;
     }
     let limits = &cx.request_limits;
+    if limits.use_advance(upstream) {
+        return Admission::Immediate;
+    }
     let (result, admission) = match limits.issuer_of(upstream) {
         Some(issuer) if issuer != cx.cfg.vm => {
             let time_left = call.time_left(cx.now());
             let result = exchange::ask(cx, &issuer, upstream, time_left).await;
             (result, Admission::AfterWait)
         }
-        _ => (limits.issue(upstream), Admission::Immediate),
+        _ => (limits.issue(upstream).map(drop), Admission::Immediate),
     };
     match result {
         Ok(()) => admission,
--- a/crates/edge/src/request_limit/issuer.rs
+++ b/crates/edge/src/request_limit/issuer.rs
@@ -9,9 +9,13 @@
 pub const MIN_PERMITS_PER_SECOND: f64 = 0.25;
 /// Time for which unused permits accumulate, in seconds.
 const BURST_S: f64 = 0.5;
-/// Time for which a new issuer issues no permits, in seconds. Another VM may have issued some until
-/// now.
-const START_DELAY_S: f64 = 0.5;
+/// Time for which a VM that takes over issues no permits. Another VM may have issued some until now.
+const TAKEOVER_DELAY: Millis = Millis(500);
+/// Part of the remaining permits that a VM gets in advance along with one. While the limit is used
+/// up, hardly any remain.
+const ADVANCE_FRACTION: f64 = 0.25;
+/// Time for which a VM may use the permits that it got in advance.
+pub const ADVANCE_LIFETIME: Millis = Millis(1_000);
 /// Longest wait that a VM without a permit is told. It bounds how long a VM doesn't notice that the
 /// server takes more again.
 const MAX_WAIT: Millis = Millis(1_000);
@@ -30,31 +34,43 @@
 }
 
 impl PermitIssuer {
-    /// Creates an issuer that has no permits at first.
-    pub fn new(now: Millis) -> Self {
+    /// Creates the issuer of a limit that was just stated. It has as many permits as can accumulate.
+    pub fn of_new_limit(now: Millis) -> Self {
         Self {
-            level: 0.0,
-            refilled_at: now + Millis((START_DELAY_S * 1000.0) as u64),
+            // Limited by the next call.
+            level: f64::INFINITY,
+            refilled_at: now,
             next_wait_until: now,
             issued: SlidingWindow::new(COUNT_WINDOW),
         }
     }
 
-    /// Issues a permit for a request to a server with the limit `per_second`. `share` is the part
-    /// of the limit that this VM may issue.
+    /// Creates the issuer of a limit that another VM issued permits for. It has none at first.
+    pub fn of_known_limit(now: Millis) -> Self {
+        Self {
+            level: 0.0,
+            refilled_at: now + TAKEOVER_DELAY,
+            ..Self::of_new_limit(now)
+        }
+    }
+
+    /// Issues a permit for a request to a server with the limit `per_second`; returns how many more
+    /// the VM may use within [`ADVANCE_LIFETIME`]. `share` is the part of the limit that this VM may
+    /// issue.
     ///
     /// # Errors
     ///
     /// Returns the time after which the VM may ask again if there is no permit.
-    pub fn issue(&mut self, per_second: f64, share: f64, now: Millis) -> Result<(), Millis> {
+    pub fn issue(&mut self, per_second: f64, share: f64, now: Millis) -> Result<u32, Millis> {
         let rate = permits_per_second(per_second) * share;
         let gained = now.since(self.refilled_at).as_secs_f64() * rate;
         self.level = (self.level + gained).min((rate * BURST_S).max(1.0));
         self.refilled_at = self.refilled_at.max(now);
         if self.level >= 1.0 {
-            self.level -= 1.0;
-            self.issued.add(now, 1.0);
-            return Ok(());
+            let advance = ((self.level - 1.0) * ADVANCE_FRACTION).floor();
+            self.level -= 1.0 + advance;
+            self.issued.add(now, 1.0 + advance);
+            return Ok(advance as u32);
         }
         Err(self.next_wait(rate, now))
     }
--- a/crates/edge/src/request_limit/messages.rs
+++ b/crates/edge/src/request_limit/messages.rs
@@ -77,16 +77,24 @@
     /// When to ask again; `None` if the permit is issued.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub wait: Option<Millis>,
+    /// Number of further permits that the VM gets in advance.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    pub advance: u32,
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     report: Option<Report>,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 impl PermitAnswer {
-    /// Creates the answer about a server; `result` is the time after which the VM may ask again if
-    /// it gets no permit.
-    pub fn new(result: Result<(), Millis>, upstream: &Upstream, now: Millis) -> Self {
+    /// Creates the answer about a server; `result` is the number of further permits, or the time
+    /// after which the VM may ask again if it gets none.
+    pub fn new(result: Result<u32, Millis>, upstream: &Upstream, now: Millis) -> Self {
         Self {
             wait: result.err(),
+            advance: result.unwrap_or(0),
             report: Report::of(upstream, now),
         }
     }
@@ -95,6 +103,7 @@
     pub fn unknown_server(wait: Millis) -> Self {
         Self {
             wait: Some(wait),
+            advance: 0,
             report: None,
         }
     }
--- a/crates/edge/src/request_limit/mod.rs
+++ b/crates/edge/src/request_limit/mod.rs
@@ -1,10 +1,9 @@
 //! Enforces the request limits that backend servers state in their responses: how many requests per
 //! second a server takes from all VMs together.
 //!
-//! The issuer tells all VMs of a new limit, so that they know it before their first requests.
-//!
 //! One VM, on which all VMs agree by rank, issues a permit for each request to a limited server. A
-//! VM that wants to send a request asks it first and selects another server if it gets none.
+//! VM that wants to send a request asks it first and selects another server if it gets none. The
+//! issuer tells all VMs of a new limit, so that they know it before their first requests.
 
 mod announce;
 mod exchange;
--- a/crates/edge/src/request_limit/state.rs
+++ b/crates/edge/src/request_limit/state.rs
@@ -7,7 +7,7 @@
 use heatherknot_types::prelude::*;
 use log::info;
 
-use super::issuer::{COUNT_WINDOW, PermitIssuer};
+use super::issuer::{ADVANCE_LIFETIME, COUNT_WINDOW, PermitIssuer};
 use super::messages::{PermitAnswer, PermitRequest};
 use super::observed::{LimitChange, Observation, ObservedLimit};
 use super::outbox::Outbox;
@@ -26,6 +26,9 @@
 pub struct LimitState {
     /// The limit as far as is known.
     pub observed: ObservedLimit,
+    /// Permits that this VM got in advance, and until when it may use them.
+    advance: u32,
+    advance_until: Millis,
     /// Until when this VM does not ask for a permit.
     blocked_until: Millis,
     /// Number of requests that got no permit on this VM.
@@ -102,22 +105,22 @@
         self.issuer_of(upstream).as_ref() == Some(&self.vm)
     }
 
-    /// Issues a permit for a request to a server.
+    /// Issues a permit for a request to a server; returns how many more the VM may use.
     ///
     /// # Errors
     ///
     /// Returns the time after which to ask again if there is no permit.
-    pub fn issue(&self, upstream: &Upstream) -> Result<(), Millis> {
+    pub fn issue(&self, upstream: &Upstream) -> Result<u32, Millis> {
         if !self.is_issuer(upstream) {
             return Err(RETRY_DELAY);
         }
         let now = self.timer.now();
         let mut state = upstream.request_limit.borrow_mut();
         let Some(state) = state.as_mut() else {
-            return Ok(());
+            return Ok(0);
         };
         let Some(per_second) = state.observed.per_second() else {
-            return Ok(());
+            return Ok(0);
         };
         match self.share.get() {
             share if share > 0.0 => state.issuer(now).issue(per_second, share, now),
@@ -127,16 +130,14 @@
 
     /// Handles another VM's report of a limit, and its request for a permit.
     pub fn answer(&self, req: &PermitRequest) -> PermitAnswer {
-        let Some(upstream) = self.find_run(&req.upstream, req.started_at) else {
+        let Some(upstream) = self.apply_report(req) else {
             return PermitAnswer::unknown_server(RETRY_DELAY);
         };
-        let now = self.timer.now();
-        self.observe(&upstream, req.observation(now), "peer");
         let result = match req.wants_permit {
             true => self.issue(&upstream),
             false => Err(RETRY_DELAY),
         };
-        PermitAnswer::new(result, &upstream, now)
+        PermitAnswer::new(result, &upstream, self.timer.now())
     }
 
     /// Applies the answer of the issuer.
@@ -148,7 +149,23 @@
         if let Some(observation) = answer.observation(self.timer.now()) {
             self.observe(upstream, observation, "issuer");
         }
-        answer.wait.map_or(Ok(()), Err)
+        if let Some(wait) = answer.wait {
+            return Err(wait);
+        }
+        if let Some(state) = upstream.request_limit.borrow_mut().as_mut() {
+            state.advance = answer.advance;
+            state.advance_until = self.timer.now() + ADVANCE_LIFETIME;
+        }
+        Ok(())
+    }
+
+    /// Uses a permit that this VM got in advance; returns whether there was one.
+    pub fn use_advance(&self, upstream: &Upstream) -> bool {
+        let mut state = upstream.request_limit.borrow_mut();
+        let state = state.as_mut().filter(|state| {
+            state.is_limited() && state.advance > 0 && self.timer.now() < state.advance_until
+        });
+        state.map(|state| state.advance -= 1).is_some()
     }
 
     /// Applies an observation of a server's limit and logs how it changed the limit; `source` says
@@ -163,14 +180,16 @@
         if state.is_none() && observation.limit.is_none() {
             return None;
         }
-        let observed = &mut state.get_or_insert_default().observed;
-        let before = observed.per_second();
-        let change = observed.apply(observation)?;
+        let state = state.get_or_insert_default();
+        let before = state.observed.per_second();
+        let change = state.observed.apply(observation)?;
+        state.advance = 0;
+        let now = self.timer.now();
         let is_announced = matches!(change, LimitChange::Stated | LimitChange::Removed);
         if is_announced && self.is_issuer(upstream) {
+            state.issuer = Some(PermitIssuer::of_new_limit(now));
             self.outbox.borrow_mut().announce(&upstream.id);
         }
-        let now = self.timer.now();
         if self.log_limit.borrow_mut().try_take(now) {
             info!(upstream:% = upstream.id, service:% = upstream.service, change = change.label(),
                 limit:? = observation.limit, before:? = before, source,
@@ -183,7 +202,7 @@
     /// its domain.
     pub fn receive(&self, reports: &[PermitRequest], is_relay: bool) {
         for report in reports {
-            self.answer(report);
+            self.apply_report(report);
             if is_relay {
                 self.outbox.borrow_mut().relay(&report.upstream);
             }
@@ -211,13 +230,15 @@
         self.outbox.borrow_mut().take_announced()
     }
 
-    /// Returns a run of a backend server.
-    fn find_run(&self, id: &UpstreamName, started_at: Option<Millis>) -> Option<Rc<Upstream>> {
-        let routing_state = self.routing_state.borrow();
-        let upstream = routing_state.upstream(id);
-        upstream
-            .filter(|upstream| upstream.started_at == started_at)
-            .cloned()
+    /// Applies another VM's report; returns the server if this VM knows the same run of it.
+    fn apply_report(&self, report: &PermitRequest) -> Option<Rc<Upstream>> {
+        let upstream = {
+            let routing_state = self.routing_state.borrow();
+            let known = routing_state.upstream(&report.upstream);
+            known.filter(|u| u.started_at == report.started_at).cloned()
+        }?;
+        self.observe(&upstream, report.observation(self.timer.now()), "peer");
+        Some(upstream)
     }
 }
 
@@ -225,6 +246,8 @@
     fn default() -> Self {
         Self {
             observed: ObservedLimit::default(),
+            advance: 0,
+            advance_until: Millis(0),
             blocked_until: Millis(0),
             held_back: 0,
             sends: SlidingWindow::new(COUNT_WINDOW),
@@ -235,7 +258,8 @@
 
 impl LimitState {
     fn issuer(&mut self, now: Millis) -> &mut PermitIssuer {
-        self.issuer.get_or_insert_with(|| PermitIssuer::new(now))
+        self.issuer
+            .get_or_insert_with(|| PermitIssuer::of_known_limit(now))
     }
 
     /// Returns whether the server has a limit.
--- a/crates/edge/tests/request_limit_model.rs
+++ b/crates/edge/tests/request_limit_model.rs
@@ -163,6 +163,25 @@
     }
 }
 
+/// Guards against a round trip for each request to a server whose limit is far above its load.
+#[test]
+fn a_limit_far_above_the_load_costs_few_calls() {
+    let scenario = |seed| Scenario {
+        rate: 60.0,
+        events: vec![(STATED_AT, Event::Limit(Some(300.0)))],
+        ..all_limited(seed)
+    };
+    for (seed, outcome) in simulate_all("limits above the load", scenario) {
+        assert_eq!(outcome.refused, 0, "seed {seed}");
+        assert!(
+            outcome.calls < outcome.served / 3,
+            "seed {seed}: {} calls for {} requests",
+            outcome.calls,
+            outcome.served
+        );
+    }
+}
+
 /// Guards against costs or a sum that grow with the number of VMs.
 #[test]
 fn limits_are_kept_by_hundreds_of_vms() {
--- a/crates/edge/tests/support/limit_model.rs
+++ b/crates/edge/tests/support/limit_model.rs
@@ -109,7 +109,8 @@
     wanted: Vec<Vec<u64>>,
     pub refused: u32,
     pub served: u32,
-    /// Bytes of messages about permits.
+    /// Number of requests for permits, and bytes of all messages about limits.
+    pub calls: u32,
     pub bytes: u64,
     /// Time that requests waited for permits.
     pub waits: Vec<u64>,
@@ -403,6 +404,9 @@
     fn ask(&mut self, vm: usize, server: usize, req: Req) {
         let limits = Rc::clone(&self.vms[vm].limits);
         let upstream = Rc::clone(&self.vms[vm].servers[server]);
+        if limits.use_advance(&upstream) {
+            return self.deliver(vm, server);
+        }
         let issuer = limits.issuer_of(&upstream);
         let issuer = issuer.and_then(|name| self.vm_named(&name));
         match issuer {
@@ -412,7 +416,7 @@
                 self.call(vm, issuer, server, msg, req);
             }
             _ => match limits.issue(&upstream) {
-                Ok(()) => {
+                Ok(_) => {
                     self.outcome.waits.push(self.now - req.entered_at);
                     self.deliver(vm, server);
                 }
@@ -431,6 +435,7 @@
             req,
         };
         self.open_calls.insert(call.id, vm);
+        self.outcome.calls += 1;
         self.push(self.now + CALL_TIMEOUT, Step::TimedOut(call.clone()));
         self.send_message(vm, issuer, msg, Some(call));
     }
