Share the rate of cold servers between the two sides of a partition

The same class of fault as the exceeded request limits, found by looking for bounds on what all VMs send together. One VM sends to a cold server at the rate that the service states, but VMs that don't reach each other each have such a VM: with 19 a second, both sides together sent 38 in a second, where 33.5 are allowed. Each side now uses the part of the rate of the VMs that it reaches, as the issuers of permits do.

--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -309,24 +309,17 @@
 /// Returns whether this VM may send a request to a cold server now. If so, it counts the send.
 ///
 /// A cold server crashes under more than a few requests a second from all VMs together. Therefore a
-/// single VM, on which all VMs agree by rank, sends to it, at the rate that the service states. Two
-/// VMs that know different peers may both consider themselves that VM; the bound that the
-/// deployment states leaves room for that.
+/// single VM, on which all VMs agree by rank, sends to it, at the rate that the service states. VMs
+/// that don't reach each other may each consider themselves that VM, and use their shares of the
+/// rate.
 fn claim_cold_send(cx: &EdgeContext, call: &Call, upstream: &Upstream, now: Millis) -> bool {
     let rate = call
         .catalog
         .service(&call.service)
         .map_or(0.0, |spec| spec.cold_rate);
-    if rate <= 0.0 || !is_cold_sender(cx, &upstream.id) {
-        return false;
-    }
-    let mut next = call.state.next_cold_send.borrow_mut();
-    let due = next.entry(upstream.id.clone()).or_default();
-    if now < *due {
-        return false;
-    }
-    *due = now + Millis((1000.0 / rate).ceil() as u64);
-    true
+    let share = cx.reachable_share();
+    let mut cold_sends = call.state.cold_sends.borrow_mut();
+    is_cold_sender(cx, &upstream.id) && cold_sends.try_claim(&upstream.id, rate, share, now)
 }
 
 /// Returns whether this VM ranks first among the live VMs, so that it is the one that sends
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -12,6 +12,7 @@
 use prometheus::Registry;
 
 use crate::budget::RetryBudget;
+use crate::cold_sends::ColdSends;
 use crate::dialect::Dialect;
 use crate::feed::Feed;
 use crate::feed_topology::FeedTopology;
@@ -133,8 +134,8 @@
     pub unrestricted_shares: UnrestrictedShares,
     /// Placement of objects on the servers for which this VM is the home VM.
     pub placement: ObjectPlacement,
-    /// When each cold backend server may get its next request from this VM.
-    pub next_cold_send: RefCell<HashMap<UpstreamName, Millis>>,
+    /// This VM's requests to cold backend servers.
+    pub cold_sends: RefCell<ColdSends>,
     /// When callers refused because of request limits are to retry.
     pub limit_returns: RefCell<ReturnSchedule>,
 }
@@ -157,7 +158,7 @@
                 sent_by_region: RegionCounts::default(),
                 unrestricted_shares: UnrestrictedShares::default(),
                 placement: ObjectPlacement::default(),
-                next_cold_send: RefCell::default(),
+                cold_sends: RefCell::default(),
                 limit_returns: RefCell::default(),
             })
         });
@@ -188,6 +189,15 @@
         seen + (seen / 4).max(1)
     }
 
+    /// Returns the part of the VMs that may be running which this VM reaches; zero while their number
+    /// is unknown.
+    pub fn reachable_share(&self) -> f64 {
+        if !self.quota.knows_vms() {
+            presence::refresh(self);
+        }
+        presence::reachable_share(self.vms.borrow().len(), self.quota.most_vms())
+    }
+
     /// Returns whether this daemon accepts requests and can route them.
     pub fn is_ready(&self) -> bool {
         !self.leaving.is_fired() && self.routing_state.borrow().catalog().is_some()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod call_selection;
 pub mod catalog;
+pub mod cold_sends;
 pub mod context;
 pub mod daemon;
 pub mod dialect;
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -223,7 +223,20 @@
         let vms = cx.vms.borrow().len();
         cx.max_vms_seen.set(cx.max_vms_seen.get().max(vms));
         cx.quota.record_vm_count(vms);
-        cx.request_limits.set_vm_counts(vms, cx.quota.most_vms());
+        cx.request_limits
+            .set_share(reachable_share(vms, cx.quota.most_vms()));
+    }
+}
+
+/// Returns the part of a limit of all VMs that the VMs which this one reaches may use. `live` is their
+/// number, `most` the highest number of VMs that may be running.
+///
+/// The VMs on the other side of a partition use the rest. With the whole limit on each side, the sum
+/// would exceed it.
+pub fn reachable_share(live: usize, most: usize) -> f64 {
+    match most {
+        0 => 0.0,
+        _ => (live as f64 / most as f64).min(1.0),
     }
 }
 
--- a/crates/edge/src/request_limit/state.rs
+++ b/crates/edge/src/request_limit/state.rs
@@ -76,17 +76,9 @@
         *self.vms.borrow_mut() = Rc::clone(vms);
     }
 
-    /// Updates the part of each limit that issuers may use. `most` is the highest number of VMs
-    /// that may be running.
-    ///
-    /// The VMs that this one doesn't reach may have an issuer of their own. Each of the two issues
-    /// permits for the part of the VMs that it reaches.
-    pub fn set_vm_counts(&self, live: usize, most: usize) {
-        let share = match most {
-            0 => 0.0,
-            _ => live as f64 / most as f64,
-        };
-        self.share.set(share.min(1.0));
+    /// Updates the part of each limit that this VM may issue permits for.
+    pub fn set_share(&self, share: f64) {
+        self.share.set(share);
     }
 
     /// Returns the VM that issues the permits of a server.
--- a/crates/edge/tests/support/limit_model.rs
+++ b/crates/edge/tests/support/limit_model.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
 
-use heatherknot_edge::presence::VmEntry;
+use heatherknot_edge::presence::{VmEntry, reachable_share};
 use heatherknot_edge::request_limit::messages::{PermitAnswer, PermitRequest};
 use heatherknot_edge::request_limit::observed::Observation;
 use heatherknot_edge::request_limit::state::RequestLimits;
@@ -642,7 +642,7 @@
             this.most = (now, live);
         }
         this.limits.set_vms(&Rc::new(seen));
-        this.limits.set_vm_counts(live, this.most.1);
+        this.limits.set_share(reachable_share(live, this.most.1));
     }
 
     fn vm_named(&self, name: &VmName) -> Option<usize> {
