Test issuers, runs of servers and the times to return, and share the fake daemon of the client's tests

Six tests: every VM finds the same issuer, a limit ends with its server's run, a limit of zero leaves a request now and then, VMs without a permit are told different times, refused callers return one after the other. The fake metrics address stood twice in the client's tests; their checks are unchanged.

--- a/crates/cli/tests/limits.rs
+++ b/crates/cli/tests/limits.rs
@@ -2,33 +2,9 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
-
 use heatherknot_cli::exit::Exit;
-use heatherknot_http::{Flag, Limits, Request, Response, serve};
-use heatherknot_test_support::runtime::block_on;
-use http::StatusCode;
 use serde_json::{Value as Json, json};
-use support::{run_cli, stdout_json};
-
-/// Starts a fake metrics address of a daemon that runs until the test process ends.
-fn daemon(page: Json) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    listener.set_nonblocking(true).unwrap();
-    std::thread::spawn(move || {
-        block_on(async move {
-            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
-            let handler = Rc::new(move |_: Request| {
-                let page = page.to_string();
-                Box::pin(async move { Response::json(StatusCode::OK, page) }) as _
-            });
-            serve(listener, handler, Limits::default(), Flag::new()).await;
-        });
-    });
-    address
-}
+use support::{fake_daemon, run_cli, stdout_json};
 
 fn limit(age_ms: u64, per_second: f64, sent: u32, issued: Option<u32>) -> Json {
     json!([{
@@ -42,8 +18,8 @@
 #[test]
 fn a_server_is_one_row_with_the_sum_of_all_vms_and_the_latest_limit() {
     let [issuer, other] = [
-        daemon(limit(900, 9.0, 8, Some(21))),
-        daemon(limit(40, 6.4, 12, None)),
+        fake_daemon(limit(900, 9.0, 8, Some(21))),
+        fake_daemon(limit(40, 6.4, 12, None)),
     ];
     let [issuer, other] = [issuer, other].map(|address| address.to_string());
 
--- a/crates/cli/tests/rollouts.rs
+++ b/crates/cli/tests/rollouts.rs
@@ -2,33 +2,9 @@
 
 mod support;
 
-use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
-
 use heatherknot_cli::exit::Exit;
-use heatherknot_http::{Flag, Limits, Request, Response, serve};
-use heatherknot_test_support::runtime::block_on;
-use http::StatusCode;
 use serde_json::{Value as Json, json};
-use support::{run_cli, stdout_json};
-
-/// Starts a fake metrics address of a daemon that runs until the test process ends.
-fn daemon(page: Json) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    listener.set_nonblocking(true).unwrap();
-    std::thread::spawn(move || {
-        block_on(async move {
-            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
-            let handler = Rc::new(move |_: Request| {
-                let page = page.to_string();
-                Box::pin(async move { Response::json(StatusCode::OK, page) }) as _
-            });
-            serve(listener, handler, Limits::default(), Flag::new()).await;
-        });
-    });
-    address
-}
+use support::{fake_daemon, run_cli, stdout_json};
 
 fn outcomes(requests: u64, failures: u64) -> Json {
     json!({"n": requests, "f": failures, "a": requests, "t": 200 * requests})
@@ -49,7 +25,10 @@
     let evidence = json!([{
         "route": "r-1", "target": outcomes(40, 12), "previous": outcomes(900, 2),
     }]);
-    let [head, other] = [daemon(rollout(evidence)), daemon(rollout(json!([])))];
+    let [head, other] = [
+        fake_daemon(rollout(evidence)),
+        fake_daemon(rollout(json!([]))),
+    ];
     let [head, other] = [head, other].map(|address| address.to_string());
 
     let shown = run_cli(&[], &["rollouts", &other, &head]);
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use futures_util::FutureExt;
 use heatherknot_cli::env::Env;
 use heatherknot_cli::{CommandOutput, run};
-use heatherknot_http::{Flag, Limits, serve};
+use heatherknot_http::{Flag, Limits, Request, Response, serve};
 use heatherknot_operator::api::{DaemonStatus, ExplainResponse, ExplainStep};
 use heatherknot_operator::{CurrentSettings, OperatorContext, handler};
 use heatherknot_settings::{
@@ -23,8 +23,27 @@
 use heatherknot_test_support::layouts;
 use heatherknot_test_support::runtime::block_on;
 use heatherknot_types::prelude::*;
+use http::StatusCode;
 use serde_json::{Value as Json, json};
 
+/// Starts a fake metrics address of a daemon that runs until the test process ends.
+pub fn fake_daemon(page: Json) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    std::thread::spawn(move || {
+        block_on(async move {
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let handler = Rc::new(move |_: Request| {
+                let page = page.to_string();
+                Box::pin(async move { Response::json(StatusCode::OK, page) }) as _
+            });
+            serve(listener, handler, Limits::default(), Flag::new()).await;
+        });
+    });
+    address
+}
+
 /// The accepted changes and the commands that made them.
 #[derive(Default)]
 struct SharedStore {
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use heatherknot_edge::hand_over::HandOverHeader;
-use heatherknot_edge::homes::{HomeDirectory, find_home};
+use heatherknot_edge::homes::{HomeDirectory, find_home, find_issuer};
 use heatherknot_edge::presence::VmEntry;
 use heatherknot_edge::upstream::Upstream;
 use heatherknot_types::prelude::*;
@@ -209,3 +209,24 @@
     };
     assert_eq!(with_space.to_value(TOKEN), None);
 }
+
+/// Guards against several VMs that each issue the permits of a server, and a server without any.
+#[test]
+fn every_vm_finds_the_same_issuer_which_is_the_home_if_there_is_one() {
+    let clock = TestClock::default().clock();
+    let all = vms(&["a", "b"]);
+    let mut reversed = all.clone();
+    reversed.reverse();
+    let without_home: Vec<VmEntry> = all
+        .iter()
+        .filter(|vm| vm.domain != "a".into())
+        .cloned()
+        .collect();
+    for server in servers("a", 100, &clock) {
+        let issuer = find_issuer(&server, &all);
+
+        assert_eq!(issuer, find_issuer(&server, &reversed));
+        assert_eq!(issuer, find_home(&server, &all).map(|home| home.vm));
+        assert!(find_issuer(&server, &without_home).is_some());
+    }
+}
--- a/crates/edge/tests/request_limit.rs
+++ b/crates/edge/tests/request_limit.rs
@@ -1,9 +1,20 @@
 //! Tests of the request limits that backend servers state.
 
+mod support;
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use heatherknot_edge::request_limit::issuer::{PermitIssuer, permits_per_second};
+use heatherknot_edge::request_limit::messages::PermitRequest;
 use heatherknot_edge::request_limit::observed::{
     LOOSEN_DELAY, LimitChange, Observation, ObservedLimit, parse,
 };
+use heatherknot_edge::request_limit::return_schedule::ReturnSchedule;
+use heatherknot_edge::request_limit::state::RequestLimits;
 use heatherknot_types::prelude::*;
+use support::{TestClock, entry_of_run, put, routing_state};
 
 fn observation(limit: Option<f64>, sent_at: u64, received_at: u64) -> Observation {
     Observation {
@@ -86,3 +97,68 @@
     assert_eq!(parse(" 6.4 "), Ok(6.4));
     assert_eq!(parse("0"), Ok(0.0));
 }
+
+/// Guards against a report about an earlier run of a server that limits its current run.
+#[test]
+fn a_limit_ends_with_the_run_of_its_server() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let routing_state = Rc::new(RefCell::new(routing_state(&clock.clock())));
+    let limits = RequestLimits::new(clock.timer(), "vm-1".into(), Rc::clone(&routing_state));
+    let start = |started_at| {
+        let change = put(
+            "server/i-1",
+            entry_of_run(started_at, "ready", 0),
+            started_at,
+        );
+        routing_state.borrow_mut().apply(&[change], true);
+        let upstream = routing_state.borrow().upstream(&"i-1".into()).cloned();
+        upstream.expect("it is registered")
+    };
+    let first_run = start(1);
+    limits.observe(&first_run, observation(Some(5.0), 9_000, 9_100), "own");
+    let report = PermitRequest::new(&first_run, true, Millis(10_000)).expect("it has a limit");
+
+    let second_run = start(2);
+    let answer = limits.answer(&report);
+
+    assert!(first_run.is_limited() && !second_run.is_limited());
+    assert!(answer.wait.is_some());
+}
+
+/// Guards against a server with a limit near zero that never gets a request again.
+#[test]
+fn a_server_with_a_limit_of_zero_gets_a_request_now_and_then() {
+    let mut issuer = PermitIssuer::of_known_limit(Millis(0));
+
+    let issued = (0..60_000).filter(|at| issuer.issue(0.0, 1.0, Millis(*at)).is_ok());
+
+    let expected = 60.0 * permits_per_second(0.0);
+    assert!((issued.count() as f64 - expected).abs() <= 1.0);
+}
+
+/// Guards against VMs without a permit that all ask again at the same time.
+#[test]
+fn vms_without_a_permit_are_told_different_times() {
+    let mut issuer = PermitIssuer::of_known_limit(Millis(0));
+
+    let waits = (0..4).filter_map(|_| issuer.issue(20.0, 1.0, Millis(500)).err());
+    let waits: HashSet<Millis> = waits.collect();
+
+    assert_eq!(waits.len(), 4, "{waits:?}");
+}
+
+/// Guards against refused callers that return together, or later than they are able to wait.
+#[test]
+fn refused_callers_return_one_after_the_other() {
+    let mut returns = ReturnSchedule::default();
+    let (earliest, longest, now) = (Millis(100), Millis(1_000), Millis(5_000));
+
+    let next = |n: u32| returns.next(earliest, longest, 300.0, f64::from(n) / 8.0, now);
+    let delays: Vec<Millis> = (0..8).map(next).collect();
+
+    assert_eq!(delays[..4], [100, 400, 700, 1_000].map(Millis));
+    let different: HashSet<&Millis> = delays[4..].iter().collect();
+    assert_eq!(different.len(), 4, "{delays:?}");
+    assert!(delays.iter().all(|delay| *delay <= longest));
+}
