--- a/crates/edge/src/rollout/response_times.rs
+++ b/crates/edge/src/rollout/response_times.rs
@@ -17,8 +17,9 @@
 const MIN_SERVERS: usize = 4;
 /// Factor by which a request to a usual server may take longer than measured.
 const SAFETY_FACTOR: f64 = 1.25;
-/// The same for a slow server, whose queue may still be growing.
-const SLOW_SAFETY_FACTOR: f64 = 1.5;
+/// The same for a slow server: its queue may still be growing, and a request for an object that it
+/// has not cached takes several times as long.
+const SLOW_SAFETY_FACTOR: f64 = 2.5;
 /// Response time assumed while nothing was measured.
 const DEFAULT_RESPONSE_TIME: Millis = Millis(1_000);
 /// Maximum number of slow servers in a message. The slowest are named.
@@ -83,8 +84,16 @@
     /// Returns the servers that could not answer a request before the previous version has to be
     /// drained.
     pub fn slower_than(&self, shift: Shift) -> HashSet<UpstreamName> {
+        let usual = self.own_usual().max(self.of_peers.usual);
+        let is_too_slow = |took: Millis| {
+            let factor = if took > usual {
+                SLOW_SAFETY_FACTOR
+            } else {
+                SAFETY_FACTOR
+            };
+            !shift.has_time_for(scaled(took, factor))
+        };
         let all = self.own.iter().chain(&self.of_peers.slow);
-        let is_too_slow = |took: Millis| !shift.has_time_for(scaled(took, SLOW_SAFETY_FACTOR));
         let too_slow = all.filter(|(_, took)| is_too_slow(**took));
         too_slow.map(|(server, _)| server.clone()).collect()
     }
