Start the shift earlier where responses take long, and use the target version where no previous server has time

The shift began at the same time whatever the response times. Where they take a third of the time limit, requests would still be cut off. It begins early enough now for the ramp and the usual response time.

A service with few servers could have had all servers of the previous version excluded as too slow, and requests would have been refused. While the traffic shifts, the target version takes such a request now, and servers only count as slow where enough were measured to know what is usual.

The usual response time is computed with each report instead of with each request.

--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -223,10 +223,7 @@
         true => call.versions,
         false => cx.rollouts.choose_for_retry(&call.service, call.versions),
     };
-    match first {
-        VersionChoice::InUse => vec![VersionChoice::InUse],
-        VersionChoice::Target => vec![VersionChoice::Target, VersionChoice::InUse],
-    }
+    cx.rollouts.in_order(&call.service, first)
 }
 
 fn warm_candidates(
--- a/crates/edge/src/rollout/controller.rs
+++ b/crates/edge/src/rollout/controller.rs
@@ -109,7 +109,7 @@
         let now = rollouts.now();
         self.recall_ages(rollouts, view);
         let due = rollouts.with_versions(|service, versions| {
-            let transition = self.next_transition(rollouts, view, service, versions)?;
+            let transition = next_transition(rollouts, view, service, versions)?;
             Some((service.clone(), transition))
         });
         let is_due = |key: &(ServiceName, Stage)| {
@@ -132,34 +132,6 @@
         proposals.collect()
     }
 
-    fn next_transition(
-        &self,
-        rollouts: &Rollouts,
-        view: &FleetView<'_>,
-        service: &ServiceName,
-        versions: &ServiceVersions,
-    ) -> Option<Transition> {
-        let now = rollouts.now();
-        let received = versions.order();
-        let collected = received.map(|order| collect(rollouts, view, service, order.revision));
-        let Collected {
-            answers,
-            undrained_vms,
-            failure,
-        } = collected.unwrap_or_default();
-        let record = versions.record();
-        plan::next_stage(&Progress {
-            order: received.map(|received| (received.revision.0, &received.order)),
-            record: record.map(|record| &record.record),
-            established: versions.established(),
-            elapsed: received.map_or(Millis(0), |received| received.given.age(now) + ORDER_AGE),
-            failure: failure.as_deref(),
-            answers,
-            undrained_vms,
-            stage_age: record.map_or(Millis(0), |record| record.stage_began.age(now)),
-        })
-    }
-
     /// Applies the ages of orders that this VM has received just after its start. They may be older
     /// than its process, and after a loss of all VMs only the record's time of day tells.
     fn recall_ages(&self, rollouts: &Rollouts, view: &FleetView<'_>) {
@@ -180,6 +152,35 @@
     }
 }
 
+fn next_transition(
+    rollouts: &Rollouts,
+    view: &FleetView<'_>,
+    service: &ServiceName,
+    versions: &ServiceVersions,
+) -> Option<Transition> {
+    let now = rollouts.now();
+    let received = versions.order();
+    let collected = received.map(|order| collect(rollouts, view, service, order.revision));
+    let Collected {
+        answers,
+        undrained_vms,
+        failure,
+        response_time,
+    } = collected.unwrap_or_default();
+    let record = versions.record();
+    let progress = Progress {
+        order: received.map(|received| (received.revision.0, &received.order)),
+        record: record.map(|record| &record.record),
+        established: versions.established(),
+        elapsed: received.map_or(Millis(0), |received| received.given.age(now) + ORDER_AGE),
+        failure: failure.as_deref(),
+        answers,
+        undrained_vms,
+        stage_age: record.map_or(Millis(0), |record| record.stage_began.age(now)),
+    };
+    plan::next_stage_with(&progress, response_time)
+}
+
 /// What this VM has collected on a rollout.
 #[derive(Default)]
 struct Collected {
@@ -189,6 +190,8 @@
     undrained_vms: Option<usize>,
     /// Why the target version has failed, if it has.
     failure: Option<Rc<str>>,
+    /// How long a request to the previous version takes.
+    response_time: Millis,
 }
 
 fn collect(
@@ -206,6 +209,7 @@
             answers: (target.requests, previous.requests),
             undrained_vms: elsewhere.map(|count| count + here),
             failure: state.failure.clone(),
+            response_time: state.response_times.usual(),
         }
     })
 }
--- a/crates/edge/src/rollout/plan.rs
+++ b/crates/edge/src/rollout/plan.rs
@@ -73,8 +73,14 @@
     pub cause: String,
 }
 
-/// Returns the next stage of a rollout, if it is due.
+/// Returns the next stage of a rollout, if it is due, where nothing is known of response times.
 pub fn next_stage(progress: &Progress<'_>) -> Option<Transition> {
+    next_stage_with(progress, Millis(0))
+}
+
+/// Returns the next stage of a rollout, if it is due, where a request to the previous version takes
+/// `response_time`.
+pub fn next_stage_with(progress: &Progress<'_>, response_time: Millis) -> Option<Transition> {
     let Some((revision, order)) = progress.order else {
         let record = progress.record.filter(|record| !record.stage.is_final());
         return record.map(|_| transition(Stage::Withdrawn, "the order was removed"));
@@ -85,7 +91,7 @@
         .map(|record| record.stage)
     {
         None => Some(first_stage(progress, order)),
-        Some(Stage::Canary) => after_canary(progress, order.time_limit),
+        Some(Stage::Canary) => after_canary(progress, order.time_limit, response_time),
         Some(Stage::Shift) => after_shift(progress, order.time_limit),
         Some(Stage::Completed | Stage::RolledBack | Stage::Withdrawn) => None,
     }
@@ -107,11 +113,16 @@
     transition(Stage::Canary, "the order was received")
 }
 
-fn after_canary(progress: &Progress<'_>, time_limit: Millis) -> Option<Transition> {
+fn after_canary(
+    progress: &Progress<'_>,
+    time_limit: Millis,
+    response_time: Millis,
+) -> Option<Transition> {
     if let Some(cause) = progress.failure {
         return Some(transition(Stage::RolledBack, cause));
     }
-    if progress.elapsed < shift_at(time_limit) {
+    let latest = time_limit - FINISH_MARGIN - response_time - MIN_RAMP - RAMP_LAG;
+    if progress.elapsed < shift_at(time_limit).min(latest) {
         return None;
     }
     let (answers, previous) = progress.answers;
@@ -162,7 +173,7 @@
     }
 }
 
-/// Returns when the traffic starts to shift, counted from the order.
+/// Returns when the traffic starts to shift, counted from the order, unless response times are long.
 pub fn shift_at(time_limit: Millis) -> Millis {
     let shift_time = Millis((time_limit.0 as f64 * SHIFT_FRACTION) as u64);
     time_limit - shift_time.clamp(MIN_SHIFT_TIME, MAX_SHIFT_TIME)
--- a/crates/edge/src/rollout/response_times.rs
+++ b/crates/edge/src/rollout/response_times.rs
@@ -30,6 +30,8 @@
 pub struct ResponseTimes {
     /// Those of this VM's own requests.
     own: HashMap<UpstreamName, Millis>,
+    /// The usual one of `own` at the last report, or zero if there were too few.
+    own_usual: Millis,
     /// What peers have reported.
     of_peers: ResponseTimeReport,
 }
@@ -62,8 +64,9 @@
     }
 
     /// Returns the report for peers, which includes what they have reported.
-    pub fn report(&self) -> ResponseTimeReport {
-        let usual = self.own_usual();
+    pub fn report(&mut self) -> ResponseTimeReport {
+        self.own_usual = usual_of(&self.own);
+        let usual = self.own_usual;
         let slow = self.own.iter().filter(|(_, took)| **took > usual);
         let mut report = ResponseTimeReport {
             usual,
@@ -75,7 +78,7 @@
 
     /// Returns how long a request to any but the slow servers may take.
     pub fn usual(&self) -> Millis {
-        match self.own_usual().max(self.of_peers.usual) {
+        match self.measured_usual() {
             Millis(0) => DEFAULT_RESPONSE_TIME,
             usual => scaled(usual, SAFETY_FACTOR),
         }
@@ -84,7 +87,10 @@
     /// Returns the servers that could not answer a request before the previous version has to be
     /// drained.
     pub fn slower_than(&self, shift: Shift) -> HashSet<UpstreamName> {
-        let usual = self.own_usual().max(self.of_peers.usual);
+        let usual = match self.measured_usual() {
+            Millis(0) => Millis(u64::MAX),
+            usual => usual,
+        };
         let is_too_slow = |took: Millis| {
             let factor = if took > usual {
                 SLOW_SAFETY_FACTOR
@@ -98,16 +104,21 @@
         too_slow.map(|(server, _)| server.clone()).collect()
     }
 
-    /// Returns the quantile of this VM's own measurements, or zero if there are too few.
-    fn own_usual(&self) -> Millis {
-        let mut sorted: Vec<Millis> = self.own.values().copied().collect();
-        if sorted.len() < MIN_SERVERS {
-            return Millis(0);
-        }
-        sorted.sort_unstable();
-        let index = ((sorted.len() - 1) as f64 * USUAL_QUANTILE) as usize;
-        sorted[index]
+    /// Returns the usual response time, or zero if it is not known.
+    fn measured_usual(&self) -> Millis {
+        self.own_usual.max(self.of_peers.usual)
+    }
+}
+
+/// Returns the quantile that counts as usual, or zero if too few servers were measured.
+fn usual_of(longest: &HashMap<UpstreamName, Millis>) -> Millis {
+    if longest.len() < MIN_SERVERS {
+        return Millis(0);
     }
+    let mut sorted: Vec<Millis> = longest.values().copied().collect();
+    sorted.sort_unstable();
+    let index = ((sorted.len() - 1) as f64 * USUAL_QUANTILE) as usize;
+    sorted[index]
 }
 
 impl ResponseTimeReport {
--- a/crates/edge/src/rollout/state.rs
+++ b/crates/edge/src/rollout/state.rs
@@ -75,7 +75,7 @@
     own: Evidence,
     in_flight: SlotMap<SendKey, InFlightSend>,
     /// Response times of the previous version's servers, without requests in flight.
-    response_times: ResponseTimes,
+    pub(super) response_times: ResponseTimes,
     popular_objects: PopularObjects,
     /// The evidence of all VMs, if this VM collects it.
     pub(super) totals: RolloutTotals,
@@ -362,6 +362,17 @@
         ))
     }
 
+    /// Returns the versions that a request with this choice may be sent to, the preferred one first.
+    /// While the traffic shifts, the target version takes what no server of the previous one can
+    /// answer in time.
+    pub fn in_order(&self, service: &ServiceName, choice: VersionChoice) -> Vec<VersionChoice> {
+        match choice {
+            VersionChoice::InUse if self.shift(service).is_none() => vec![VersionChoice::InUse],
+            VersionChoice::InUse => vec![VersionChoice::InUse, VersionChoice::Target],
+            VersionChoice::Target => vec![VersionChoice::Target, VersionChoice::InUse],
+        }
+    }
+
     /// Returns a filter for the servers of a service that a request with this choice may get.
     pub fn filter(
         &self,
