Allow for the time that a record takes, not for late VMs, when the shift has to begin early

The shift began up to half a second earlier than before where the longest usual response time of all VMs is 2.3 s, because 1.2 s were left for VMs that receive the record late.

--- a/crates/edge/src/rollout/plan.rs
+++ b/crates/edge/src/rollout/plan.rs
@@ -34,6 +34,8 @@
 const OVERDUE_DRAIN_TIME: Millis = Millis(6_000);
 /// Time after the ramp within which even VMs that received the record late have finished theirs.
 const RAMP_LAG: Millis = Millis(1_200);
+/// Time from the decision to shift until the record has reached most VMs.
+const SHIFT_LAG: Millis = Millis(600);
 /// Answers of the target version without which the traffic does not shift yet.
 const MIN_ANSWERS: u64 = 10;
 /// Time before the deadline from which the traffic shifts with fewer answers.
@@ -121,7 +123,7 @@
     if let Some(cause) = progress.failure {
         return Some(transition(Stage::RolledBack, cause));
     }
-    let latest = time_limit - FINISH_MARGIN - response_time - MIN_RAMP - RAMP_LAG;
+    let latest = time_limit - FINISH_MARGIN - response_time - MIN_RAMP - SHIFT_LAG;
     if progress.elapsed < shift_at(time_limit).min(latest) {
         return None;
     }
