--- a/crates/edge/src/poison/suspects.rs
+++ b/crates/edge/src/poison/suspects.rs
@@ -36,6 +36,13 @@
 const TRIAL_DELAY: Millis = RECENT_CRASH_WINDOW;
 /// The same if servers go on crashing.
 const MAX_TRIAL_DELAY: Millis = Millis(30_000);
+/// Maximum number of crashes without a request with which [`CRASHES_TO_REJECT`] crashes during it
+/// reject it.
+const MAX_OTHERS_AT_FIRST: usize = 1;
+/// Number of crashes during a request that reject it with as many crashes without it.
+const CRASHES_WITH_MORE_OTHERS: usize = CRASHES_TO_REJECT + 1;
+/// Maximum number of crashes without a request for each one during it, where there are more.
+const MAX_OTHERS_PER_CRASH: usize = 2;
 /// Time before the first and after the last crash during a request within which a crash without it
 /// counts against its rejection. VMs learn of crashes up to that late.
 const COINCIDENCE_MARGIN: Millis = Millis(300);
@@ -187,7 +194,7 @@
     is_observed: bool,
     /// Whether the last crash was in the trial after [`TRIAL_DELAY`].
     has_failed_trial: bool,
-    /// Crashes of earlier epochs, which are none without the request.
+    /// Crashes during the request in earlier epochs, which don't count as crashes without it.
     void_crashes: Vec<CrashId>,
 }
 
@@ -231,9 +238,9 @@
 fn stands_out(own: usize, others: usize) -> bool {
     match own {
         ..CRASHES_TO_REJECT => false,
-        CRASHES_TO_REJECT => others <= 1,
-        4 => others <= own,
-        _ => others <= 2 * own,
+        CRASHES_TO_REJECT => others <= MAX_OTHERS_AT_FIRST,
+        CRASHES_WITH_MORE_OTHERS => others <= own,
+        _ => others <= MAX_OTHERS_PER_CRASH * own,
     }
 }
 
