--- a/crates/edge/src/rollout/evidence.rs
+++ b/crates/edge/src/rollout/evidence.rs
@@ -99,8 +99,7 @@
         self.waiting_ms += more.waiting_ms;
     }
 
-    /// Subtracts earlier counts, or those of a part.
-    pub(super) fn minus(&self, earlier: &Outcomes) -> Outcomes {
+    fn minus(&self, earlier: &Outcomes) -> Outcomes {
         Outcomes {
             requests: self.requests.saturating_sub(earlier.requests),
             failures: self.failures.saturating_sub(earlier.failures),
--- a/crates/edge/src/rollout/verdict.rs
+++ b/crates/edge/src/rollout/verdict.rs
@@ -7,23 +7,19 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use statrs::distribution::{Binomial, DiscreteCDF};
-
 use super::evidence::{Evidence, Outcomes, RequestKind, RouteHash, ServerGroup};
 
 /// Failures from which a route is compared at all.
-const MIN_FAILURES: u64 = 3;
+const MIN_FAILURES: u64 = 5;
 /// Fraction of failures that is assumed of the previous version if it failed less.
 const MIN_FAILURE_RATE: f64 = 0.005;
 /// Requests of the previous version, one of them failed, that are added to those counted, because a
 /// failure rate of zero among few requests says little.
 const PRIOR_REQUESTS: f64 = 50.0;
-/// Multiple of the expected failures above which failures count.
+/// Multiple of the expected failures, and number of their standard deviations, above which failures
+/// are no chance.
 const FAILURE_FACTOR: f64 = 2.0;
-/// Probability below which as many failures are no chance.
-const MAX_CHANCE: f64 = 1e-4;
-/// The same for the failures without those of the group of servers that has the most.
-const MAX_CHANCE_OF_OTHERS: f64 = 1e-2;
+const FAILURE_DEVIATIONS: f64 = 5.0;
 /// Part of its expected failures with which a group of servers is affected.
 const AFFECTED_FRACTION: f64 = 0.5;
 /// Factor by which the target version has to be slower.
@@ -119,9 +115,14 @@
         let rate = (previous.failures as f64 + 1.0) / (previous.requests as f64 + PRIOR_REQUESTS);
         let rate = rate.max(MIN_FAILURE_RATE);
         let sum = sum(groups.values());
-        let is_flawed = sum.failures >= MIN_FAILURES
-            && exceeds_chance(&sum, rate, MAX_CHANCE)
-            && (fail_in_most(&groups, &sum) || fail_beyond_worst(&groups, &sum, rate));
+        let is_flawed = exceeds_chance(&sum, rate) && {
+            let overall = sum.failures as f64 / sum.requests as f64;
+            let is_affected = |outcomes: &Outcomes| {
+                let expected = overall * outcomes.requests as f64;
+                outcomes.failures > 0 && outcomes.failures as f64 >= AFFECTED_FRACTION * expected
+            };
+            are_most_affected(&groups, is_affected)
+        };
         is_flawed.then_some(Flaw::Failures {
             route,
             target: (sum.failures, sum.requests),
@@ -130,36 +131,10 @@
     })
 }
 
-/// Returns whether there are more failures than can be expected at a failure rate of `rate`. Chance
-/// gives as many with a probability of less than `max_chance`.
-fn exceeds_chance(outcomes: &Outcomes, rate: f64, max_chance: f64) -> bool {
-    let Outcomes {
-        requests, failures, ..
-    } = *outcomes;
-    let expected = rate * requests as f64;
-    if failures == 0 || failures as f64 <= FAILURE_FACTOR * expected {
-        return false;
-    }
-    let Ok(distribution) = Binomial::new(rate.min(1.0), requests) else {
-        return false;
-    };
-    distribution.sf(failures - 1) < max_chance
-}
-
-/// Returns whether requests fail in most of the groups of servers.
-fn fail_in_most(groups: &ByGroup, sum: &Outcomes) -> bool {
-    let overall = sum.failures as f64 / sum.requests as f64;
-    are_most_affected(groups, |outcomes| {
-        let expected = overall * outcomes.requests as f64;
-        outcomes.failures > 0 && outcomes.failures as f64 >= AFFECTED_FRACTION * expected
-    })
-}
-
-/// Returns whether too many requests fail also outside of the group of servers in which most do.
-fn fail_beyond_worst(groups: &ByGroup, sum: &Outcomes, rate: f64) -> bool {
-    let worst = groups.values().max_by_key(|outcomes| outcomes.failures);
-    let others = sum.minus(worst.unwrap_or(&Outcomes::default()));
-    exceeds_chance(&others, rate, MAX_CHANCE_OF_OTHERS)
+fn exceeds_chance(outcomes: &Outcomes, rate: f64) -> bool {
+    let expected = rate * outcomes.requests as f64;
+    let limit = FAILURE_FACTOR * expected + FAILURE_DEVIATIONS * expected.sqrt();
+    outcomes.failures >= MIN_FAILURES && outcomes.failures as f64 > limit
 }
 
 fn find_slowness(span: &Evidence, total: &Evidence) -> Option<Flaw> {
