Observe whether a VM reaches the backend servers of a service

A VM that lost its links logged each failed send and nothing about itself, and no metric told it from a VM whose servers had crashed. A line is now logged when no server of a service can be reached any more, with the age of the last response, and when servers can be reached again; heatherknot_servers_reached counts the reached servers by service. No decision depends on it yet.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::call::Call;
 use crate::context::EdgeContext;
+use crate::reachability;
 use crate::request_limit;
 use crate::rollout::evidence::RequestKind;
 use crate::rollout::state::{ObservedSend, SendResult};
@@ -149,6 +150,7 @@
     if hangs && cx.switches.is_on(Mechanism::HangingServers) {
         log::info!(upstream:% = upstream.id, waited_ms = waited.0; "a backend server does not respond; treating it as unreachable");
         upstream.record_unreachable(waited, now);
+        reachability::record_failure(cx, &call.state, upstream, "no response");
     }
 }
 
@@ -179,6 +181,7 @@
     // requests that it ran not counted against the account's limit.
     response.headers.remove(OUTCOME_HEADER);
     upstream.record_response(cx.now());
+    reachability::record_response(cx, &call.state, upstream);
     record_load(cx, call, candidate, &response.headers, sent);
     record_request_limit(cx, candidate, &response, sent);
     if let Some(outcome) = detect_refusal(cx, candidate, &response) {
@@ -370,6 +373,9 @@
     if !error.is_stale_connection() && !matches!(error, SendError::Expired { .. }) {
         upstream.record_connection_failure(now);
     }
+    if reachability::is_unreached(error) {
+        reachability::record_failure(cx, &call.state, upstream, "connection failed");
+    }
     match (error.send_progress(), now >= call.deadline) {
         (SendProgress::NotSent, _) => SendOutcome::NotSent("the server could not be reached"),
         (SendProgress::MaybeSent, true) => SendOutcome::TimedOut,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -24,6 +24,7 @@
 use crate::poison::PoisonDetector;
 use crate::presence::{self, RefreshInput, VmEntries, VmEntry};
 use crate::quota::state::Quota;
+use crate::reachability::state::Reachability;
 use crate::region_counts::RegionCounts;
 use crate::request_limit::return_schedule::ReturnSchedule;
 use crate::request_limit::state::RequestLimits;
@@ -134,6 +135,8 @@
     pub unrestricted_shares: UnrestrictedShares,
     /// Placement of objects on the servers for which this VM is the home VM.
     pub placement: ObjectPlacement,
+    /// Whether this VM reaches the backend servers.
+    pub reachability: Reachability,
     /// This VM's requests to cold backend servers.
     pub cold_sends: RefCell<ColdSends>,
     /// When callers refused because of request limits are to retry.
@@ -158,6 +161,7 @@
                 sent_by_region: RegionCounts::default(),
                 unrestricted_shares: UnrestrictedShares::default(),
                 placement: ObjectPlacement::default(),
+                reachability: Reachability::default(),
                 cold_sends: RefCell::default(),
                 limit_returns: RefCell::default(),
             })
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -43,7 +43,7 @@
 use crate::upstream::{self, IDLE_TIMEOUT};
 use crate::{
     call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
-    presence, reply, request_limit, rollout, round_trip, stop,
+    presence, reachability, reply, request_limit, rollout, round_trip, stop,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -498,6 +498,7 @@
                 .for_each(|upstream| upstream.pool.sweep());
             cx.homes.sweep();
             request_limit::status::update_metrics(&cx, &routing_state);
+            reachability::update_metrics(&cx, &routing_state);
             let version = routing_state.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod presence;
 pub mod quantile;
 pub mod quota;
+pub mod reachability;
 pub mod region_counts;
 pub mod registration;
 mod reply;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -68,6 +68,8 @@
     pub limits: LimitMetrics,
     /// Requests that a backend server was running when it crashed, by service.
     pub requests_at_server_crash: IntCounterVec,
+    /// Backend servers that this VM reaches, by service.
+    pub servers_reached: GaugeVec,
     /// Requests handed over to the home VMs of their servers, by result.
     pub handed_over: IntCounterVec,
     /// Refusals by service and cause.
@@ -121,6 +123,7 @@
                 "Requests that a backend server had when it ended, by service",
                 &["service"],
             )?,
+            servers_reached: register_servers_reached(registry)?,
             handed_over: counters(
                 "heatherknot_handed_total",
                 "Requests handed to the homes of their servers, by result",
@@ -153,6 +156,16 @@
     }
 }
 
+fn register_servers_reached(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
+    let opts = Opts::new(
+        "heatherknot_servers_reached",
+        "Backend servers that this VM reaches, by service",
+    );
+    let gauges = GaugeVec::new(opts, &["service"])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 fn register_lookups(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let lookups = IntCounter::new("heatherknot_lookups_total", "Look-ups answered")?;
     registry.register(Box::new(lookups.clone()))?;
