Relay requests to other VMs where a VM reaches no backend server

Callers of VMs that had lost their links to the backend servers got 503 within 20 ms, or after up to four failed sends, although other VMs could have served them: 8 of 279 requests were served at such VMs, 3,853 of 3,854 at the others.

A VM considered only the servers that it reached itself, and its one way to another VM, the hand-over to a server's home, ended where it did not reach the server. Now a request that this VM would refuse for that reason is relayed to a VM that accepts requests from others, at most once: that VM serves it or declines. Once three servers have failed one after the other without a response in between, requests are relayed without a try, and probes that only connect find out when servers can be reached again. A home that reaches no server declines too, and the first VM serves the request.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -12,7 +12,7 @@
 use crate::accounts::{Account, AllowedRegions};
 use crate::catalog::{Catalog, Route};
 use crate::context::{EdgeContext, ServiceState};
-use crate::hand_over::HandOverHeader;
+use crate::hand_over::{HandOverHeader, Purpose};
 use crate::identify::{self, IdentifyError};
 use crate::poison::fingerprint::{Fingerprint, Identity, KnownBody, quick_hash};
 use crate::poison::suspects::placement_hash;
@@ -54,6 +54,8 @@
     pub(crate) versions: VersionChoice,
     /// Backend server that another VM ranked first before it handed the request over to this VM.
     pub(crate) assigned_server: Option<UpstreamName>,
+    /// Whether another VM relayed the request because it can't reach its servers.
+    pub(crate) is_relayed: bool,
     /// When the request head had been read.
     pub(crate) started: Millis,
     /// When the request has to be answered at the latest.
@@ -349,6 +351,9 @@
         object,
         is_isolated: false,
         versions,
+        is_relayed: handed
+            .as_ref()
+            .is_some_and(|header| header.purpose == Purpose::Relay),
         assigned_server: handed.map(|header| header.server),
         started,
         deadline: started + timeout,
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -33,6 +33,9 @@
     pub(crate) best: Option<Candidate>,
     /// A server whose request limit kept the request from it, and that limit.
     pub(crate) limited_by: Option<(UpstreamName, f64)>,
+    /// Whether this VM reaches less than half of the servers that may run the request, so that
+    /// another VM might serve it.
+    pub(crate) is_cut_off: bool,
 }
 
 impl Refusal {
@@ -48,6 +51,14 @@
     pub(crate) fn no_more_sends() -> Self {
         refuse("no further send is allowed", DEFAULT_RETRY_AFTER)
     }
+
+    /// Refuses a request that was sent to as many unreachable servers as it may be.
+    pub(crate) fn unreachable() -> Self {
+        Self {
+            is_cut_off: true,
+            ..Self::no_more_sends()
+        }
+    }
 }
 
 /// The servers that a request may not be sent to.
@@ -56,6 +67,8 @@
     pub(crate) tried: &'a [UpstreamName],
     /// Whether servers with a request limit are excluded.
     pub(crate) limited: bool,
+    /// Whether servers that this VM can't reach are excluded.
+    pub(crate) unreachable: bool,
 }
 
 impl Exclusions<'_> {
@@ -92,8 +105,7 @@
     let locality = locality(cx, call);
     let Some(best) = select(&params, &candidates, &call.state.service_times, locality) else {
         let held_back = limit_refusal(cx, call, excluded, now);
-        return Err(held_back
-            .unwrap_or_else(|| refuse("no backend server can take it", DEFAULT_RETRY_AFTER)));
+        return Err(held_back.unwrap_or_else(|| no_server(cx, call, excluded)));
     };
     // A response after the latency target is worth little, and the work on it would make the next
     // requests late as well. A request that would have to wait that long is refused at once.
@@ -107,19 +119,61 @@
         let retry_after = Millis(wait as u64).min(Millis(left.0 / 3));
         return Err(Refusal {
             best: Some(best),
+            is_cut_off: is_cut_off(cx, call, excluded),
             ..refuse("every backend server is busy for too long", retry_after)
         });
     }
     Ok(best)
 }
 
+/// Refuses a request that no server can get.
+fn no_server(cx: &EdgeContext, call: &Call, excluded: &Exclusions<'_>) -> Refusal {
+    match is_cut_off(cx, call, excluded) {
+        true => Refusal {
+            is_cut_off: true,
+            ..refuse("no backend server can be reached", DEFAULT_RETRY_AFTER)
+        },
+        false => refuse("no backend server can take it", DEFAULT_RETRY_AFTER),
+    }
+}
+
+/// Returns whether this VM reaches less than half of the servers that may run the request.
+fn is_cut_off(cx: &EdgeContext, call: &Call, excluded: &Exclusions<'_>) -> bool {
+    let now = cx.now();
+    let all = cx.routing_state.borrow().upstreams(&call.service);
+    if all.iter().all(|u| u.is_reachable(now)) {
+        return false;
+    }
+    let count = |unreachable| {
+        let excluded = Exclusions {
+            unreachable,
+            ..*excluded
+        };
+        let choices = version_choices(cx, call, excluded.tried).into_iter();
+        let servers = choices.map(|choice| eligible(cx, call, &excluded, choice, now, |_| true));
+        servers.map(|servers| servers.len()).sum::<usize>()
+    };
+    2 * count(true) < count(false)
+}
+
 /// Returns the server that gets a request while that server has capacity, or `None` if no warm
-/// server may get it. All VMs compute the same one.
+/// server that this VM reaches may get it. All VMs that reach it compute the same one.
 pub(crate) fn first_ranked(cx: &EdgeContext, call: &Call) -> Option<Rc<Upstream>> {
+    first_ranked_except(cx, call, true)
+}
+
+/// Returns the server that gets a request while that server has capacity, whether or not this VM
+/// reaches it.
+pub(crate) fn first_ranked_anywhere(cx: &EdgeContext, call: &Call) -> Option<Rc<Upstream>> {
+    first_ranked_except(cx, call, false)
+}
+
+fn first_ranked_except(cx: &EdgeContext, call: &Call, unreachable: bool) -> Option<Rc<Upstream>> {
     let now = cx.now();
     let excluded = Exclusions {
         tried: &[],
         limited: false,
+        unreachable,
     };
     let warm = warm_candidates(cx, call, &excluded, now);
     let is_home = |u: &Upstream| is_home(cx, u);
@@ -196,6 +250,7 @@
         retry_after,
         best: None,
         limited_by: None,
+        is_cut_off: false,
     }
 }
 
@@ -258,7 +313,7 @@
             && wanted(u)
             && !routing_state.is_evacuated(&u.domain)
             && call.regions.allows(&u.region)
-            && u.is_reachable(now)
+            && (!excluded.unreachable || u.is_reachable(now))
             && !excluded.tried.contains(&u.id)
     });
     eligible.cloned().collect()
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -26,6 +26,7 @@
 use crate::quota::state::Quota;
 use crate::reachability::state::Reachability;
 use crate::region_counts::RegionCounts;
+use crate::relay::targets::RelayTargets;
 use crate::request_limit::return_schedule::ReturnSchedule;
 use crate::request_limit::state::RequestLimits;
 use crate::rollout::state::Rollouts;
@@ -93,6 +94,8 @@
     pub body_memory: Rc<ReplayBudget>,
     /// Home VMs of backend servers, and the connections to them.
     pub homes: HomeDirectory,
+    /// VMs that this VM may relay requests to.
+    pub relay_targets: RelayTargets,
     /// Token that proves that a request was handed over by a VM of this deployment.
     pub hand_over_token: String,
     /// Token with which operators release rejected requests.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
 use crate::quota::{exchange, status};
+use crate::relay::targets::RelayTargets;
 use crate::request_limit::state::RequestLimits;
 use crate::request_limit::status::LIMITS_PATH;
 use crate::rollout::state::Rollouts;
@@ -216,6 +217,7 @@
         routes: RefCell::default(),
         body_memory: ReplayBudget::new(cfg.kept_bodies_bytes()),
         homes: HomeDirectory::default(),
+        relay_targets: RelayTargets::default(),
         hand_over_token: derive_token(&cfg, HAND_OVER_PURPOSE),
         release_token: derive_token(&cfg, RELEASE_PURPOSE),
         quota,
@@ -446,6 +448,7 @@
     monoio::spawn(rollout::writer::run(Rc::clone(cx)));
     monoio::spawn(request_limit::run(Rc::clone(cx)));
     monoio::spawn(request_limit::fetch_from_peers(Rc::clone(cx)));
+    monoio::spawn(reachability::probe::run(Rc::clone(cx)));
     monoio::spawn(tick(Rc::clone(cx)));
     cx.membership.run(cx.net.clone());
 }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -12,6 +12,7 @@
 use crate::hand_over;
 use crate::identify::IdentifyError;
 use crate::poison::guard::{self, SendDecision};
+use crate::relay::{self, RelayReason};
 use crate::reply;
 use crate::request_limit::gate::{self, Admission};
 use crate::request_log::{self, SendRecord};
@@ -111,19 +112,51 @@
     if let Some(response) = hand_over::hand_over(cx, &mut call, &mut history).await {
         return response;
     }
-    // A request that was handed over counts at the home VM, which makes its retries.
-    call.state.budget.borrow_mut().record_request(call.started);
-    let response = send_until_answered(cx, &mut call, &mut history).await;
+    // A request that was handed over counts at the home VM, which makes its retries. One that was
+    // relayed has been counted by the VM that relayed it.
+    if !call.is_relayed {
+        call.state.budget.borrow_mut().record_request(call.started);
+    }
+    if call.state.reachability.is_lost() {
+        if call.assigned_server.is_some() {
+            return hand_over::decline_unreached();
+        }
+        let reason = RelayReason::ServiceLost;
+        if let Some(response) = relay::relay(cx, &mut call, &mut history, reason).await {
+            return response;
+        }
+    }
+    let refusal = match send_until_answered(cx, &mut call, &mut history).await {
+        Ok(response) => {
+            request_log::record_end(cx, &call, &history, &response);
+            return response;
+        }
+        Err(refusal) => refusal,
+    };
+    if refusal.is_cut_off {
+        if call.assigned_server.is_some() && !history.was_delivered() {
+            return hand_over::decline_unreached();
+        }
+        let reason = RelayReason::ServersUnreachable;
+        if let Some(response) = relay::relay(cx, &mut call, &mut history, reason).await {
+            return response;
+        }
+    }
+    let response = give_up(cx, &call, &mut history, &refusal);
     request_log::record_end(cx, &call, &history, &response);
     response
 }
 
-/// Sends a request to one server after another until one answers or no further send is allowed.
+/// Sends a request to one server after another until one answers.
+///
+/// # Errors
+///
+/// Returns why no further send is allowed.
 async fn send_until_answered(
     cx: &Rc<EdgeContext>,
     call: &mut Call,
     history: &mut SendHistory,
-) -> Response {
+) -> Result<Response, Refusal> {
     while call.body.can_send() {
         let suspect_guard = match guard::check(cx, call) {
             SendDecision::Normal => None,
@@ -132,22 +165,21 @@
                 Some(guard)
             }
             SendDecision::Refused(cause, retry_after) => {
-                let refusal = Refusal::suspected(cause, retry_after);
-                return give_up(cx, call, history, &refusal);
+                return Err(Refusal::suspected(cause, retry_after));
             }
         };
-        let candidate = match call_selection::select_or_refuse(cx, call, &history.excluded()) {
-            Ok(candidate) => candidate,
-            Err(refusal) => return give_up(cx, call, history, &refusal),
-        };
+        let candidate = call_selection::select_or_refuse(cx, call, &history.excluded())?;
         if !acquire_permit(cx, call, history, &candidate, suspect_guard.is_some()).await {
             continue;
         }
         if call.cancelled.is_fired() {
-            return give_up(cx, call, history, &Refusal::caller_disconnected());
+            return Err(Refusal::caller_disconnected());
         }
         if !may_send(cx, call, history) {
-            return give_up(cx, call, history, &Refusal::no_more_sends());
+            return Err(match history.was_delivered() {
+                true => Refusal::no_more_sends(),
+                false => Refusal::unreachable(),
+            });
         }
         history.servers.push(candidate.upstream.id.clone());
         let at = cx.now();
@@ -165,13 +197,13 @@
         let labels = [call.service.as_str(), outcome.label()];
         cx.metrics.sends.with_label_values(&labels).inc();
         if let Some(response) = process_outcome(cx, call, history, &candidate, outcome).await {
-            return response;
+            return Ok(response);
         }
         if history.may_have_run > 0 && !call.route.idempotent {
             break;
         }
     }
-    give_up(cx, call, history, &Refusal::no_more_sends())
+    Err(Refusal::no_more_sends())
 }
 
 /// Takes a permit for a server with a request limit. Returns whether the request may be sent there
@@ -250,9 +282,20 @@
         Exclusions {
             tried: &self.servers,
             limited: self.permits_denied >= MAX_PERMITS_DENIED,
+            unreachable: true,
         }
     }
 
+    /// Returns whether any send reached a server.
+    fn was_delivered(&self) -> bool {
+        self.delivered > 0
+    }
+
+    /// Returns whether a server may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run > 0
+    }
+
     /// Records a send that a server may have run and that produced no usable response.
     pub(crate) fn record_possible_run(&mut self, cause: &'static str) {
         self.delivered += 1;
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -36,6 +36,23 @@
 pub const HAND_OVER_HEADER: &str = "heatherknot-handed";
 /// Response header by which a home VM declines a request that it has not started.
 const DECLINED_HEADER: &str = "heatherknot-declined";
+/// Value of [`DECLINED_HEADER`] if the VM reaches no server that may run the request.
+const UNREACHED: &str = "no backend server can be reached from here";
+/// Last field of [`HAND_OVER_HEADER`] for a relayed request.
+const RELAY_FIELD: &str = "relay";
+/// How long a relayed request waits for the configuration that routed it to reach this VM.
+const MAX_CONFIG_WAIT: Millis = Millis(250);
+/// Interval of the checks meanwhile.
+const CONFIG_POLL_INTERVAL: Millis = Millis(10);
+
+/// Why a request is handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// The VM is the home VM of the request's server.
+    Home,
+    /// The other VM can't reach the request's servers.
+    Relay,
+}
 
 /// Decisions of the VM that hands a request over, as carried by [`HAND_OVER_HEADER`].
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,6 +63,8 @@
     pub service: ServiceName,
     /// Backend server that ranks first for the request's object.
     pub server: UpstreamName,
+    /// Why the request is handed over.
+    pub purpose: Purpose,
 }
 
 impl HandOverHeader {
@@ -58,17 +77,26 @@
         }
         let version = fields.next()?.parse().ok()?;
         let (service, server) = (fields.next()?, fields.next()?);
+        let purpose = match fields.next() {
+            None => Purpose::Home,
+            Some(RELAY_FIELD) => Purpose::Relay,
+            Some(_) => return None,
+        };
         let is_complete = fields.next().is_none() && !service.is_empty() && !server.is_empty();
         is_complete.then(|| Self {
             version,
             service: service.into(),
             server: server.into(),
+            purpose,
         })
     }
 
     /// Formats the header's value. Returns `None` if a name can't be represented in it.
     pub fn to_value(&self, token: &str) -> Option<HeaderValue> {
-        let text = format!("{token} {} {} {}", self.version, self.service, self.server);
+        let mut text = format!("{token} {} {} {}", self.version, self.service, self.server);
+        if self.purpose == Purpose::Relay {
+            text = format!("{text} {RELAY_FIELD}");
+        }
         let value = HeaderValue::from_str(&text).ok()?;
         (Self::parse(&text, token).as_ref() == Some(self)).then_some(value)
     }
@@ -81,14 +109,16 @@
 }
 
 /// Outcome of handing a request over.
-enum HandOverOutcome {
-    /// The home VM's response.
+pub(crate) enum HandOverOutcome {
+    /// The other VM's response.
     Answered(Response),
-    /// The home VM did not start the request, or no byte of it was sent.
+    /// The other VM reaches no server that may run the request.
+    Unreached,
+    /// The other VM did not start the request, or no byte of it was sent.
     NotStarted(&'static str),
     /// The request may have run, but there is no usable response.
     Unknown(&'static str),
-    /// Like `Unknown`, because the connection to the home VM broke.
+    /// Like `Unknown`, because the connection to the other VM broke.
     Broken(&'static str),
     /// The deadline passed.
     TimedOut,
@@ -98,9 +128,10 @@
 
 impl HandOverOutcome {
     /// Returns the value of the metrics label and the log field.
-    fn label(&self) -> &'static str {
+    pub(crate) fn label(&self) -> &'static str {
         match self {
             HandOverOutcome::Answered(_) => "answered",
+            HandOverOutcome::Unreached => "unreached",
             HandOverOutcome::NotStarted(_) => "not-begun",
             HandOverOutcome::Unknown(_) | HandOverOutcome::Broken(_) => "unknown",
             HandOverOutcome::TimedOut => "late",
@@ -109,8 +140,9 @@
     }
 
     /// Returns why there is no response, for the log.
-    fn cause(&self) -> &'static str {
+    pub(crate) fn cause(&self) -> &'static str {
         match self {
+            HandOverOutcome::Unreached => UNREACHED,
             HandOverOutcome::NotStarted(cause)
             | HandOverOutcome::Unknown(cause)
             | HandOverOutcome::Broken(cause) => cause,
@@ -131,12 +163,14 @@
     let (upstream, home) = hand_over_target(cx, call)?;
     let clock = &cx.timer.clock;
     let peer = cx.homes.peer(&home, &cx.dialect, clock);
-    if !peer.is_reachable(cx.now()) {
+    let service = &call.service;
+    if !peer.is_reachable(cx.now()) || !cx.relay_targets.is_available(&home.vm, service, cx.now()) {
         return None;
     }
+    cx.relay_targets.record_attempt(&home.vm, service, cx.now());
     let began = cx.now();
     let _region_guard = call.state.sent_by_region.start_request(&upstream.region);
-    let outcome = send(cx, call, &peer, &upstream).await;
+    let outcome = send(cx, call, &peer, &upstream, Purpose::Home).await;
     let label = outcome.label();
     cx.metrics.handed_over.with_label_values(&[label]).inc();
     if !matches!(outcome, HandOverOutcome::Answered(_)) {
@@ -144,7 +178,15 @@
             took_ms = cx.now().since(began).0; "handing over a request got no response");
     }
     match outcome {
-        HandOverOutcome::Answered(response) => Some(response),
+        HandOverOutcome::Answered(response) => {
+            cx.relay_targets.record_answer(&home.vm, &call.service);
+            Some(response)
+        }
+        HandOverOutcome::Unreached => {
+            cx.relay_targets
+                .record_decline(&home.vm, &call.service, cx.now());
+            None
+        }
         HandOverOutcome::NotStarted(_) => None,
         HandOverOutcome::Broken(cause) => {
             guard::investigate_broken_handover(cx, call, &peer);
@@ -199,13 +241,15 @@
     recent_requests < servers as f64 * cx.cfg.hand_over_below
 }
 
-async fn send(
+/// Sends a request for the server `to` to another VM.
+pub(crate) async fn send(
     cx: &EdgeContext,
     call: &mut Call,
     peer: &HomePeer,
     to: &Upstream,
+    purpose: Purpose,
 ) -> HandOverOutcome {
-    let Some(head) = outgoing_head(cx, call, to) else {
+    let Some(head) = outgoing_head(cx, call, to, purpose) else {
         return HandOverOutcome::NotStarted("its names are no header value");
     };
     let Some(body) = call.body.body_for_send() else {
@@ -233,11 +277,17 @@
 }
 
 /// Builds the head of a request to hand over, or `None` if a name can't be represented in it.
-fn outgoing_head(cx: &EdgeContext, call: &Call, to: &Upstream) -> Option<RequestHead> {
+fn outgoing_head(
+    cx: &EdgeContext,
+    call: &Call,
+    to: &Upstream,
+    purpose: Purpose,
+) -> Option<RequestHead> {
     let header = HandOverHeader {
         version: call.catalog.version,
         service: call.service.clone(),
         server: to.id.clone(),
+        purpose,
     };
     let mut head = call.head.clone();
     let left = HeaderValue::from(call.time_left(cx.now()).0);
@@ -258,8 +308,11 @@
     began: Millis,
 ) -> HandOverOutcome {
     peer.record_success();
-    if response.headers.contains_key(DECLINED_HEADER) {
-        return HandOverOutcome::NotStarted("the home declined it");
+    if let Some(cause) = response.headers.get(DECLINED_HEADER) {
+        return match cause == UNREACHED {
+            true => HandOverOutcome::Unreached,
+            false => HandOverOutcome::NotStarted("the home declined it"),
+        };
     }
     let value = response.headers.get(&cx.dialect.headers.server_load);
     if let Some(load) = value.and_then(|v| ServerLoad::parse(v.to_str().ok()?)) {
@@ -314,12 +367,7 @@
     let Some(header) = header else {
         return decline("it names no server, or holds no token of this deployment");
     };
-    let version = cx
-        .routing_state
-        .borrow()
-        .catalog()
-        .map(|catalog| catalog.version);
-    if version != Some(header.version) {
+    if !has_configuration_of(&cx, &header).await {
         return decline("another configuration is in force here");
     }
     match call::admit(&cx, req, Some(header)).await {
@@ -331,6 +379,31 @@
     }
 }
 
+/// Returns whether this VM may handle a request that was routed by the header's configuration.
+///
+/// A home has to use the same one. A relay may use a later one, and waits for it: right after a
+/// change, all VMs that a request can be relayed to may lack the configuration of its own VM.
+async fn has_configuration_of(cx: &EdgeContext, header: &HandOverHeader) -> bool {
+    let version = || {
+        let routing_state = cx.routing_state.borrow();
+        routing_state.catalog().map(|catalog| catalog.version)
+    };
+    if header.purpose == Purpose::Home {
+        return version() == Some(header.version);
+    }
+    let is_current = || version().is_some_and(|version| version >= header.version);
+    let until = cx.now() + MAX_CONFIG_WAIT;
+    while !is_current() && cx.now() < until {
+        cx.timer.wait(CONFIG_POLL_INTERVAL).await;
+    }
+    is_current()
+}
+
+/// Declines a request of which no byte reached a server, since this VM reaches none for it.
+pub(crate) fn decline_unreached() -> Response {
+    decline(UNREACHED)
+}
+
 /// Declines a request that was not started. The VM that handed it over then serves it.
 fn decline(cause: &'static str) -> Response {
     let value = HeaderValue::from_static(cause);
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -91,7 +91,7 @@
 }
 
 /// Returns the weight of a VM.
-fn capacity(vm: &VmEntry) -> f64 {
+pub(crate) fn capacity(vm: &VmEntry) -> f64 {
     f64::from(vm.cpu_permille.max(1)) * f64::from(vm.link_mbps.max(1))
 }
 
@@ -127,6 +127,13 @@
         Rc::clone(peer)
     }
 
+    /// Returns the number of requests that this VM has in flight at a VM.
+    pub fn in_flight(&self, vm: &VmEntry) -> usize {
+        let peers = self.peers.borrow();
+        let peer = vm.handed.and_then(|address| peers.get(&address));
+        peer.map_or(0, |peer| peer.pool.open() - peer.pool.idle())
+    }
+
     /// Closes connections whose idle timeout has passed.
     pub fn sweep(&self) {
         let peers = self.peers.borrow();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod reachability;
 pub mod region_counts;
 pub mod registration;
+pub mod relay;
 mod reply;
 pub mod request_limit;
 mod request_log;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -72,6 +72,8 @@
     pub servers_reached: GaugeVec,
     /// Requests handed over to the home VMs of their servers, by result.
     pub handed_over: IntCounterVec,
+    /// Requests relayed to VMs that reach their servers, by reason and result.
+    pub relayed: IntCounterVec,
     /// Refusals by service and cause.
     pub refusals: IntCounterVec,
     /// Requests that were not admitted, by cause.
@@ -129,6 +131,11 @@
                 "Requests handed to the homes of their servers, by result",
                 &["result"],
             )?,
+            relayed: counters(
+                "heatherknot_relayed_total",
+                "Requests relayed to VMs that reach their servers, by reason and result",
+                &["reason", "result"],
+            )?,
             refusals: counters(
                 "heatherknot_refusals_total",
                 "Refused requests by service and cause",
--- a/crates/edge/src/reachability/mod.rs
+++ b/crates/edge/src/reachability/mod.rs
@@ -3,6 +3,7 @@
 //! A VM can lose its links to all backend servers while callers, the store and other VMs still
 //! reach it. Its failed connections then tell about the VM, not about the servers.
 
+pub(crate) mod probe;
 pub mod state;
 
 use heatherknot_http::SendError;
@@ -34,6 +35,15 @@
     log_change(&upstream.service, change, upstream, cause);
 }
 
+/// Records that a server accepted a connection that a probe opened.
+pub(crate) fn record_connection(cx: &EdgeContext, state: &ServiceState, upstream: &Upstream) {
+    let servers = cx.routing_state.borrow().upstreams(&upstream.service).len();
+    let change = state
+        .reachability
+        .record_connection(&upstream.id, servers, cx.now());
+    log_change(&upstream.service, change, upstream, "probe connected");
+}
+
 /// Returns whether an error shows that the server can't be reached. A pooled connection that the
 /// server closed while it was idle doesn't, nor does a limit of this VM's own.
 pub(crate) fn is_unreached(error: &SendError) -> bool {
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -17,7 +17,9 @@
 use crate::call::{AdmitError, Call};
 use crate::context::EdgeContext;
 use crate::forward::SendHistory;
+use crate::hand_over::HandOverOutcome;
 use crate::quota::meter::OverLimit;
+use crate::relay::RelayReason;
 use crate::selection::Candidate;
 
 /// One in this many requests that were answered in time is logged.
@@ -95,7 +97,7 @@
     latency.observe(took.as_secs_f64());
     let went_well = outcome == "answered" && took <= call.route.latency_target;
     let id = call.id(cx);
-    if went_well && !hash::digest(id.as_bytes()).is_multiple_of(SAMPLE_INTERVAL) {
+    if went_well && !is_sampled(id) {
         return;
     }
     for (number, sent) in history.sends.iter().enumerate() {
@@ -120,6 +122,33 @@
         "request ended");
 }
 
+fn is_sampled(id: &str) -> bool {
+    hash::digest(id.as_bytes()).is_multiple_of(SAMPLE_INTERVAL)
+}
+
+/// Logs a request that was relayed to `vm` at `began`, if it got no successful response there or is
+/// sampled. Its other lines are in that VM's log.
+pub(crate) fn record_relayed(
+    cx: &EdgeContext,
+    call: &Call,
+    vm: &VmName,
+    reason: RelayReason,
+    outcome: &HandOverOutcome,
+    began: Millis,
+) {
+    let status = match outcome {
+        HandOverOutcome::Answered(response) => response.status.as_u16(),
+        _ => 0,
+    };
+    let id = call.id(cx);
+    if StatusCode::OK == status && !is_sampled(id) {
+        return;
+    }
+    info!(id, vm:% = vm, service:% = call.service, reason = reason.label(), result = outcome.label(),
+        cause = outcome.cause(), status, at_ms = began.since(call.started).0,
+        took_ms = cx.now().since(began).0; "request relayed");
+}
+
 /// Counts and logs a request that was not admitted.
 pub(crate) fn record_not_admitted(
     cx: &EdgeContext,
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -31,6 +31,8 @@
     ColdCost,
     /// Requests are handed over to the home VM of their backend server.
     HandOver,
+    /// Requests whose backend servers this VM can't reach are relayed to other VMs.
+    Relay,
     /// Requests that any region may serve leave capacity to those restricted to certain regions.
     GiveWay,
     /// Rate limits of client accounts are enforced.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -302,6 +302,11 @@
         self.failure_rate.add(1.0, QUALITY_WEIGHT);
     }
 
+    /// Records that the server accepted a connection, so that it may be tried at once.
+    pub fn record_connection(&self, now: Millis) {
+        self.backoff_until.set(self.backoff_until.get().min(now));
+    }
+
     /// Records that the server could not be reached or closed the connection prematurely.
     ///
     /// Every request sent to an unresponsive server costs the time of a connection attempt. The
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-use heatherknot_edge::hand_over::HandOverHeader;
+use heatherknot_edge::hand_over::{HandOverHeader, Purpose};
 use heatherknot_edge::homes::{HomeDirectory, find_home, find_issuer};
 use heatherknot_edge::presence::VmEntry;
 use heatherknot_edge::upstream::Upstream;
@@ -159,18 +159,21 @@
 
 #[test]
 fn a_hand_over_header_round_trips() {
-    let header = HandOverHeader {
-        version: 12,
-        service: "gallery".into(),
-        server: "i-7".into(),
-    };
-    let value = header
-        .to_value(TOKEN)
-        .expect("these names can stand in a header");
-    assert_eq!(
-        HandOverHeader::parse(value.to_str().expect("text"), TOKEN),
-        Some(header)
-    );
+    for purpose in [Purpose::Home, Purpose::Relay] {
+        let header = HandOverHeader {
+            version: 12,
+            service: "gallery".into(),
+            server: "i-7".into(),
+            purpose,
+        };
+        let value = header
+            .to_value(TOKEN)
+            .expect("these names can stand in a header");
+        assert_eq!(
+            HandOverHeader::parse(value.to_str().expect("text"), TOKEN),
+            Some(header)
+        );
+    }
 }
 
 /// Guards against a client outside the deployment that reaches the hand-over address and names the
@@ -195,6 +198,7 @@
         "12  i-7",
         "x gallery i-7",
         "1 a b c",
+        "1 a b relay c",
     ] {
         assert_eq!(
             HandOverHeader::parse(&format!("{TOKEN} {text}"), TOKEN),
@@ -206,6 +210,7 @@
         version: 1,
         service: "two words".into(),
         server: "i-7".into(),
+        purpose: Purpose::Home,
     };
     assert_eq!(with_space.to_value(TOKEN), None);
 }
