Do not take a path that was cut for a crashed server

A VM now claims a crash only if it can connect to other servers, and if none of up to four VMs of different failure domains can connect to the server. A genuine crash is known up to 250 ms later.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::presence::VmEntries;
 use crate::quota::state::Quota;
 use crate::quota::{exchange, status};
+use crate::reachability::diagnosis;
 use crate::relay::targets::RelayTargets;
 use crate::request_limit::state::RequestLimits;
 use crate::request_limit::status::LIMITS_PATH;
@@ -190,7 +191,7 @@
     let incarnation = Incarnation(rng.u64(1..));
     let entries = Rc::new(VmEntries::new(Rc::clone(&feed)));
     let quota = Rc::new(Quota::new(timer.clone(), Rc::clone(&routing_state)));
-    let mut methods = make_methods(&feed, &quota, &timer);
+    let mut methods = make_methods(&feed, &quota, &timer, &routing_state);
     let rollouts = make_rollouts(&cfg, &dialect, &timer, &feed, &routing_state, &mut methods);
     let request_limits = make_request_limits(&cfg, &timer, &routing_state, &mut methods);
     let poison = make_poison(&cfg, &timer, &feed, &mut methods);
@@ -253,11 +254,17 @@
 
 /// Returns the methods that peers may call, without those of rollouts, request limits and poison
 /// requests.
-fn make_methods(feed: &Rc<Feed>, quota: &Rc<Quota>, timer: &Timer) -> MethodTable {
+fn make_methods(
+    feed: &Rc<Feed>,
+    quota: &Rc<Quota>,
+    timer: &Timer,
+    routing_state: &Rc<RefCell<RoutingState>>,
+) -> MethodTable {
     let mut methods = MethodTable::default();
     peer_feed::register(&mut methods, feed, timer);
     round_trip::register(&mut methods);
     exchange::register(&mut methods, quota);
+    diagnosis::register(&mut methods, routing_state);
     methods
 }
 
--- a/crates/edge/src/poison/guard.rs
+++ b/crates/edge/src/poison/guard.rs
@@ -8,13 +8,13 @@
 use heatherknot_types::prelude::*;
 use log::info;
 
-use super::crash;
 use super::fingerprint::Fingerprint;
 use super::state::SuspectInFlightGuard;
 use super::suspects::{CrashId, RequestSummary, SendPolicy};
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::homes::HomePeer;
+use crate::reachability::diagnosis::{self, Diagnosis};
 use crate::switches::Mechanism;
 use crate::upstream::Upstream;
 
@@ -140,7 +140,10 @@
         upstream,
     } = broken;
     let others = upstream.in_flight();
-    if crash::has_crashed(&upstream).await {
+    // A server that announced that it leaves drops the requests that it still runs, which is no
+    // evidence against them.
+    let is_leaving = !upstream.accepts_requests();
+    if !is_leaving && diagnosis::diagnose(&cx, &upstream).await == Diagnosis::Crashed {
         let service = upstream.service.as_str();
         cx.metrics
             .requests_at_server_crash
--- a/crates/edge/src/poison/mod.rs
+++ b/crates/edge/src/poison/mod.rs
@@ -5,8 +5,8 @@
 //! can come back at any VM with another request identifier, so whatever one VM learns of it has
 //! to reach all VMs:
 //!
-//! - [`fingerprint`] tells whether two attempts are the same request, [`crash`] whether a server
-//!   crashed while it ran one;
+//! - [`fingerprint`] tells whether two attempts are the same request, and
+//!   [`diagnosis`](crate::reachability::diagnosis) whether a server crashed while it ran one;
 //! - [`suspects`] holds the suspected requests and decides which are rejected, [`clean_runs`]
 //!   remembers requests that ran without a crash;
 //! - [`guard`] decides before each send whether the request may be sent;
@@ -14,7 +14,6 @@
 //!   keeps rejected requests in the platform's store.
 
 pub mod clean_runs;
-pub(crate) mod crash;
 pub mod exchange;
 pub mod fingerprint;
 pub(crate) mod guard;
--- a/crates/edge/src/reachability/mod.rs
+++ b/crates/edge/src/reachability/mod.rs
@@ -3,6 +3,7 @@
 //! A VM can lose its links to all backend servers while callers, the store and other VMs still
 //! reach it. Its failed connections then tell about the VM, not about the servers.
 
+pub mod diagnosis;
 pub(crate) mod probe;
 pub mod state;
 
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -9,7 +9,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::ewma::{Ewma, decay};
-use crate::poison::crash::CrashProbe;
+use crate::reachability::diagnosis::SharedDiagnosis;
 use crate::registration::Registration;
 use crate::request_limit::state::LimitState;
 use crate::rollout::versions::VersionRole;
@@ -70,8 +70,8 @@
     pub registered_at: Millis,
     /// Its request limit, if it has stated one.
     pub request_limit: RefCell<Option<Box<LimitState>>>,
-    /// The latest probe of whether the server has crashed.
-    pub(crate) crash_probe: RefCell<Option<CrashProbe>>,
+    /// Why the latest connection to it broke.
+    pub(crate) diagnosis: RefCell<Option<SharedDiagnosis>>,
     in_flight: Cell<u32>,
     other_load: Ewma,
     load_reported_at: Cell<Millis>,
@@ -146,7 +146,7 @@
             unrestricted_share: Cell::new(1.0),
             registered_at: clock.now(),
             request_limit: RefCell::default(),
-            crash_probe: RefCell::default(),
+            diagnosis: RefCell::default(),
             in_flight: Cell::new(0),
             other_load: Ewma::default(),
             load_reported_at: Cell::new(Millis(0)),
@@ -280,7 +280,7 @@
 
     /// Records that the server sent a response of any kind.
     pub fn record_response(&self, now: Millis) {
-        self.crash_probe.take();
+        self.diagnosis.take();
         self.last_response_at.set(now);
     }
 
