Leave what a VM without a path to its server saw out of a rollout's evidence

While VMs lost their links again and again, a good version was rolled back: '5 of 5 requests failed, 3 of 3 at the previous version'. Each connection that broke with a request in flight counted as a failure of the version of its server. The evidence now waits for the diagnosis of the server and is dropped if only this VM does not reach it; so is a response that did not come while no server of the service can be reached.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::reachability;
+use crate::reachability::diagnosis::{self, Diagnosis};
 use crate::request_limit;
 use crate::rollout::evidence::RequestKind;
 use crate::rollout::state::{ObservedSend, SendResult};
@@ -108,11 +109,39 @@
         record_unanswered(cx, call, candidate, sent);
     }
     if let Some(observed) = observed {
-        observed.finish(outcome.as_evidence());
+        record_evidence(cx, call, candidate, observed, &outcome);
     }
     outcome
 }
 
+/// Records what an outcome says about the version of the server, unless the fault is this VM's: one
+/// that does not reach the server can't tell how its version answers.
+fn record_evidence(
+    cx: &Rc<EdgeContext>,
+    call: &Call,
+    candidate: &Candidate,
+    observed: ObservedSend,
+    outcome: &SendOutcome,
+) {
+    match outcome {
+        SendOutcome::Broken(_) => {
+            let (cx, upstream) = (Rc::clone(cx), Rc::clone(&candidate.upstream));
+            // Spawned, because the diagnosis may take longer than the caller waits.
+            monoio::spawn(async move {
+                let result = match diagnosis::diagnose(&cx, &upstream).await {
+                    Diagnosis::CutOff => SendResult::Unrelated,
+                    Diagnosis::Alive | Diagnosis::Crashed | Diagnosis::Silent => SendResult::Failed,
+                };
+                observed.finish(result);
+            });
+        }
+        SendOutcome::TimedOut if call.state.reachability.is_lost() => {
+            observed.finish(SendResult::Unrelated);
+        }
+        _ => observed.finish(outcome.as_evidence()),
+    }
+}
+
 /// Starts to observe a request as evidence on the version of its server, if a rollout of its
 /// service is in progress.
 fn observe(cx: &EdgeContext, call: &Call, candidate: &Candidate) -> Option<ObservedSend> {
