State when keepalive probes give up: after one without an answer

The comment promised that a server which receives nothing is detected within three seconds, after two probes. Linux ignores the number of probes while a user timeout is set: with 1.5 s and probes each second a connection ends at two seconds, after one probe. The number is 1 now and the comments say so; behaviour is unchanged.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -397,8 +397,8 @@
 /// Returns the settings of the connections to backend servers.
 ///
 /// A server that has vanished without closing its connections answers no packet. The connect
-/// timeout is short enough for another server to still answer the request, and probes detect within
-/// about three seconds that a request which such a server has taken is lost.
+/// timeout is short enough for another server to still answer the request, and a probe detects within
+/// two seconds that a request which such a server has taken is lost.
 fn upstream_pool(dialect: &Dialect) -> PoolConfig {
     PoolConfig {
         max_connections: 64,
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -85,12 +85,13 @@
 }
 
 /// Returns the liveness options of connections that carry requests. An unresponsive peer is
-/// detected within about three seconds, while most requests still have time left.
+/// detected 1.5 s after sending to it, or two seconds after its last packet if a request only waits
+/// for its response, while most requests still have time left.
 pub fn liveness_options() -> LivenessOptions {
     LivenessOptions {
         user_timeout: Duration::from_millis(1_500),
         keepalive: Duration::from_secs(1),
-        keepalive_probes: 2,
+        keepalive_probes: 1,
     }
 }
 
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -13,11 +13,14 @@
 #[derive(Clone, Copy, Debug)]
 pub struct LivenessOptions {
     /// How long sent bytes may stay unacknowledged, or the peer's receive window closed, before
-    /// the connection fails.
+    /// the connection fails. It also decides when keepalive probes give up: the connection fails at
+    /// the first probe that is due this long after the peer's last packet, if the one before was not
+    /// answered.
     pub user_timeout: Duration,
     /// Idle time before the first keepalive probe, and the interval between probes.
     pub keepalive: Duration,
-    /// Number of unanswered probes after which the connection fails.
+    /// Number of unanswered probes after which the connection fails. Linux ignores it, since
+    /// `user_timeout` is set.
     pub keepalive_probes: u32,
 }
 
@@ -26,7 +29,7 @@
         Self {
             user_timeout: Duration::from_secs(5),
             keepalive: Duration::from_secs(5),
-            keepalive_probes: 2,
+            keepalive_probes: 1,
         }
     }
 }
