Learn which VMs reach the servers, and explore others until enough are known

A VM now prefers those that answered lately, explores others until four are known, those that declined least often first, and pauses after 16 declines in a row.

A request whose service turns out to be lost is relayed after the third server that fails, a refused connection no longer closes the open ones of its server, and the number of keepalive probes, which Linux ignores here, is no longer set.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -399,7 +399,9 @@
     }
     // A pooled connection that the server had closed while it was idle says nothing about the
     // server.
-    if !error.is_stale_connection() && !matches!(error, SendError::Expired { .. }) {
+    if error.is_refused() {
+        upstream.record_connection_refused(now);
+    } else if !error.is_stale_connection() && !matches!(error, SendError::Expired { .. }) {
         upstream.record_connection_failure(now);
     }
     if reachability::is_unreached(error) {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -202,6 +202,9 @@
         if history.may_have_run > 0 && !call.route.idempotent {
             break;
         }
+        if call.state.reachability.is_lost() && !history.was_delivered() {
+            return Err(Refusal::unreachable());
+        }
     }
     Err(Refusal::no_more_sends())
 }
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -26,6 +26,7 @@
 use crate::forward::{self, SendHistory};
 use crate::homes::{HomePeer, HomeVm};
 use crate::poison::guard;
+use crate::relay::targets::Tier;
 use crate::reply;
 use crate::switches::Mechanism;
 use crate::upstream::{ServerLoad, Upstream};
@@ -167,7 +168,9 @@
     if !peer.is_reachable(cx.now()) || !cx.relay_targets.is_available(&home.vm, service, cx.now()) {
         return None;
     }
-    cx.relay_targets.record_attempt(&home.vm, service, cx.now());
+    let tier = Tier::of(&upstream.region, &cx.region);
+    cx.relay_targets
+        .record_attempt(&home.vm, tier, service, cx.now());
     let began = cx.now();
     let _region_guard = call.state.sent_by_region.start_request(&upstream.region);
     let outcome = send(cx, call, &peer, &upstream, Purpose::Home).await;
@@ -179,12 +182,13 @@
     }
     match outcome {
         HandOverOutcome::Answered(response) => {
-            cx.relay_targets.record_answer(&home.vm, &call.service);
+            cx.relay_targets
+                .record_answer(&home.vm, tier, &call.service, cx.now());
             Some(response)
         }
         HandOverOutcome::Unreached => {
             cx.relay_targets
-                .record_decline(&home.vm, &call.service, cx.now());
+                .record_decline(&home.vm, tier, &call.service, cx.now());
             None
         }
         HandOverOutcome::NotStarted(_) => None,
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -127,6 +127,13 @@
         Rc::clone(peer)
     }
 
+    /// Returns whether requests may be handed over to a VM at `now`.
+    pub fn is_reachable(&self, vm: &VmEntry, now: Millis) -> bool {
+        let peers = self.peers.borrow();
+        let peer = vm.handed.and_then(|address| peers.get(&address));
+        peer.is_none_or(|peer| peer.is_reachable(now))
+    }
+
     /// Returns the number of requests that this VM has in flight at a VM.
     pub fn in_flight(&self, vm: &VmEntry) -> usize {
         let peers = self.peers.borrow();
--- a/crates/edge/src/reachability/probe.rs
+++ b/crates/edge/src/reachability/probe.rs
@@ -45,7 +45,10 @@
         }
         Err(error) => {
             debug!(upstream:% = upstream.id, error:% = error; "probing a backend server failed");
-            upstream.record_connection_failure(cx.now());
+            match error.is_refused() {
+                true => upstream.record_connection_refused(cx.now()),
+                false => upstream.record_connection_failure(cx.now()),
+            }
         }
     }
 }
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -20,14 +20,11 @@
 use crate::homes::HomeVm;
 use crate::poison::guard;
 use crate::presence::{self, VmEntry};
-use crate::relay::targets::TargetQuery;
+use crate::relay::targets::{MAX_ATTEMPTS, TargetQuery, Tier};
 use crate::reply;
 use crate::request_log;
 use crate::switches::Mechanism;
 
-/// Maximum number of VMs that one request is relayed to.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Why a request is relayed, as used in log lines and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RelayReason {
@@ -68,9 +65,11 @@
             hand_over_address: vm.handed?,
         };
         let peer = cx.homes.peer(&home, &cx.dialect, &cx.timer.clock);
-        cx.relay_targets
-            .record_attempt(&vm.name, &call.service, cx.now());
         let began = cx.now();
+        let tier = Tier::of(&vm.region, &cx.region);
+        let service = call.service.clone();
+        cx.relay_targets
+            .record_attempt(&vm.name, tier, &service, began);
         let _region_guard = call.state.sent_by_region.start_request(&vm.region);
         let outcome = hand_over::send(cx, call, &peer, &server, Purpose::Relay).await;
         let labels = [reason.label(), outcome.label()];
@@ -78,12 +77,13 @@
         request_log::record_relayed(cx, call, &vm.name, reason, &outcome, began);
         match outcome {
             HandOverOutcome::Answered(response) => {
-                cx.relay_targets.record_answer(&vm.name, &call.service);
+                cx.relay_targets
+                    .record_answer(&vm.name, tier, &service, cx.now());
                 return Some(response);
             }
             HandOverOutcome::Unreached => {
                 cx.relay_targets
-                    .record_decline(&vm.name, &call.service, cx.now());
+                    .record_decline(&vm.name, tier, &service, cx.now());
             }
             HandOverOutcome::NotStarted(_) => {}
             HandOverOutcome::Broken(cause) => {
@@ -116,6 +116,7 @@
         is_allowed: &|region| call.regions.allows(region),
         is_large: cx.route(&call.route.name).has_large_transfers(),
         tried,
+        is_reachable: &|vm| cx.homes.is_reachable(vm, now),
         in_flight: &|vm| cx.homes.in_flight(vm),
         now,
     };
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -91,7 +91,6 @@
     LivenessOptions {
         user_timeout: Duration::from_millis(1_500),
         keepalive: Duration::from_secs(1),
-        keepalive_probes: 1,
     }
 }
 
@@ -317,10 +316,21 @@
         self.record_unreachable(Millis(0), now);
     }
 
+    /// Records that the server refused a new connection. Open ones may still work: if its process
+    /// had ended, they would have been closed as well.
+    pub fn record_connection_refused(&self, now: Millis) {
+        self.back_off(Millis(0), now);
+    }
+
     /// Records that the server counts as unreachable after a request has waited for `waited`. The
     /// backoff is at least that long. Otherwise the server would get the next request, which waits
     /// as long, almost immediately.
     pub fn record_unreachable(&self, waited: Millis, now: Millis) {
+        self.back_off(waited, now);
+        self.pool.close_idle();
+    }
+
+    fn back_off(&self, waited: Millis, now: Millis) {
         let consecutive_failures = self.consecutive_failures.get();
         self.consecutive_failures.set(consecutive_failures + 1);
         let backoff = Millis(INITIAL_BACKOFF.0 << consecutive_failures.min(MAX_BACKOFF_DOUBLINGS))
@@ -328,7 +338,6 @@
         self.backoff_until.set(now + backoff.max(waited));
         self.quality_updated_at.set(now);
         self.failure_rate.add(1.0, QUALITY_WEIGHT);
-        self.pool.close_idle();
     }
 }
 
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod cut_model;
 pub mod limit_model;
 pub mod poison_model;
 pub mod quota_model;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -83,7 +83,6 @@
             liveness: LivenessOptions {
                 user_timeout: Duration::from_secs(20),
                 keepalive: Duration::from_secs(30),
-                keepalive_probes: 3,
             },
         }
     }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -19,9 +19,6 @@
     pub user_timeout: Duration,
     /// Idle time before the first keepalive probe, and the interval between probes.
     pub keepalive: Duration,
-    /// Number of unanswered probes after which the connection fails. Linux ignores it, since
-    /// `user_timeout` is set.
-    pub keepalive_probes: u32,
 }
 
 impl Default for LivenessOptions {
@@ -29,7 +26,6 @@
         Self {
             user_timeout: Duration::from_secs(5),
             keepalive: Duration::from_secs(5),
-            keepalive_probes: 1,
         }
     }
 }
@@ -44,8 +40,7 @@
     with_socket(stream, |socket| {
         let keepalive = TcpKeepalive::new()
             .with_time(options.keepalive)
-            .with_interval(options.keepalive)
-            .with_retries(options.keepalive_probes);
+            .with_interval(options.keepalive);
         socket.set_tcp_keepalive(&keepalive)?;
         socket.set_tcp_user_timeout(Some(options.user_timeout))
     })
