--- a/crates/edge/src/reachability/diagnosis.rs
+++ b/crates/edge/src/reachability/diagnosis.rs
@@ -5,6 +5,7 @@
 //! considered crashed only if this VM can connect to others, and no other VM can connect to it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use futures_util::future::join_all;
@@ -25,7 +26,7 @@
 const METHOD: &str = "e.connect";
 /// Timeout of a call; more than twice the round trip between regions.
 const CALL_TIMEOUT: Millis = Millis(250);
-/// Maximum number of VMs that are asked, each in another failure domain.
+/// Maximum number of VMs that are asked.
 const MAX_WITNESSES: usize = 4;
 /// Number of other servers of which a VM must be able to connect to one.
 const CONTROLS: usize = 3;
@@ -128,11 +129,8 @@
         ConnectResult::Open => Diagnosis::Alive,
         ConnectResult::Unknown => Diagnosis::CutOff,
         ConnectResult::Refused | ConnectResult::Silent => {
-            match (is_reached_by_others(&cx, &upstream).await, own) {
-                (true, _) => Diagnosis::CutOff,
-                (false, ConnectResult::Refused) => Diagnosis::Crashed,
-                (false, _) => Diagnosis::Silent,
-            }
+            let others = ask_others(&cx, &upstream).await;
+            diagnosis_of(own, &others)
         }
     };
     if result != Diagnosis::Alive {
@@ -172,8 +170,21 @@
     chosen.map(|(_, u)| Rc::clone(u)).collect()
 }
 
-/// Returns whether any of the VMs that are asked can connect to a server.
-async fn is_reached_by_others(cx: &EdgeContext, upstream: &Upstream) -> bool {
+/// Returns the diagnosis of a server to which this VM could not connect, from what other VMs found.
+/// Those that answered have to confirm that the server refuses connections.
+fn diagnosis_of(own: ConnectResult, others: &[ConnectResult]) -> Diagnosis {
+    let is_confirmed = others.is_empty() || others.contains(&ConnectResult::Refused);
+    if others.contains(&ConnectResult::Open) {
+        Diagnosis::CutOff
+    } else if own == ConnectResult::Refused && is_confirmed {
+        Diagnosis::Crashed
+    } else {
+        Diagnosis::Silent
+    }
+}
+
+/// Returns what other VMs found when they connected to a server, of those that answered in time.
+async fn ask_others(cx: &EdgeContext, upstream: &Upstream) -> Vec<ConnectResult> {
     let req = ConnectRequest {
         upstream: upstream.id.clone(),
         started_at: upstream.started_at,
@@ -181,14 +192,14 @@
     let witnesses = witnesses(cx, upstream);
     let calls = witnesses.iter().map(|vm| call(cx, vm, &req));
     let answers = join_all(calls).await;
-    for (vm, answer) in witnesses.iter().zip(&answers) {
-        if let Err(error) = answer {
-            debug!(vm:% = vm, upstream:% = upstream.id, error:% = error; "asking a VM to connect to a backend server failed");
-        }
-    }
-    answers
-        .iter()
-        .any(|answer| matches!(answer, Ok(ConnectResult::Open)))
+    let answers = witnesses.iter().zip(answers).filter_map(|(vm, answer)| {
+        answer
+            .inspect_err(|error| {
+                debug!(vm:% = vm, upstream:% = upstream.id, error:% = error; "asking a VM to connect to a backend server failed");
+            })
+            .ok()
+    });
+    answers.collect()
 }
 
 async fn call(
@@ -203,7 +214,7 @@
     }
 }
 
-/// Returns VMs of different failure domains, those near the server first.
+/// Returns VMs near the server, of as many failure domains as there are.
 fn witnesses(cx: &EdgeContext, upstream: &Upstream) -> Vec<VmName> {
     let vms = presence::live_vms(cx);
     let distance = |vm: &VmEntry| match (vm.domain == upstream.domain, vm.region == upstream.region)
@@ -216,7 +227,11 @@
         |vm: &VmEntry| hash::rendezvous(&[upstream.id.as_str().as_bytes()], vm.name.as_str());
     let mut others: Vec<&VmEntry> = vms.iter().filter(|vm| vm.name != cx.cfg.vm).collect();
     others.sort_by_cached_key(|vm| (distance(vm), vm.domain.clone(), rank(vm)));
-    others.dedup_by(|a, b| a.domain == b.domain);
-    let chosen = others.into_iter().take(MAX_WITNESSES);
+    let mut domains = HashSet::new();
+    let (first_of_domain, rest): (Vec<&VmEntry>, Vec<&VmEntry>) = others
+        .into_iter()
+        .partition(|vm| domains.insert(&vm.domain));
+    let others = first_of_domain.into_iter().chain(rest);
+    let chosen = others.take(MAX_WITNESSES);
     chosen.map(|vm| vm.name.clone()).collect()
 }
