--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -7,9 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures_util::FutureExt;
-use heatherknot_http::{
-    AheadRule, Flag, Handler, Limits, PoolConfig, ReplayBudget, Response, serve,
-};
+use heatherknot_http::{AheadRule, Flag, Handler, Limits, ReplayBudget, Response, serve};
 use heatherknot_peer::{
     Membership, MembershipContext, MembershipHooks, MembershipOptions, MethodTable, PeerContext,
     PeerError, PeerId, PeerNet, PeerOptions, Secret,
@@ -42,10 +40,9 @@
 use crate::routing_state::RoutingState;
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
-use crate::upstream::{self, IDLE_TIMEOUT};
 use crate::{
     call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
-    presence, reachability, reply, request_limit, rollout, round_trip, stop,
+    presence, reachability, reply, request_limit, rollout, round_trip, stop, upstream,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -332,7 +329,7 @@
     let routing_state = RoutingState::new(
         dialect.clone(),
         cfg.domains.clone(),
-        upstream_pool(dialect),
+        upstream::pool_config(dialect),
         timer.clock.clone(),
     );
     let routing_state = routing_state.with_canary_share(Bounds::from(&cfg.bounds).canary_share);
@@ -394,24 +391,6 @@
     Ok((membership, net))
 }
 
-/// Returns the settings of the connections to backend servers.
-///
-/// A server that has vanished without closing its connections answers no packet. The connect
-/// timeout is short enough for another server to still answer the request, and a probe detects within
-/// two seconds that a request which such a server has taken is lost.
-fn upstream_pool(dialect: &Dialect) -> PoolConfig {
-    PoolConfig {
-        max_connections: 64,
-        max_idle: IDLE_TIMEOUT,
-        max_idle_non_idempotent: Millis(2_000),
-        connect_timeout: Duration::from_millis(500),
-        liveness: upstream::liveness_options(),
-        allow_close_delimited: true,
-        echoed_header: Some(dialect.headers.request_id.clone()),
-        ..PoolConfig::default()
-    }
-}
-
 fn request_limits(cx: &Rc<EdgeContext>) -> Limits {
     let drain_timeout = stop::drain_timeout(cx.bounds.grace);
     let caller_cx = Rc::clone(cx);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -24,11 +24,8 @@
 
 impl LimitMetrics {
     fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let counters = |name: &str, help: &str| {
-            let counters = IntCounterVec::new(Opts::new(name, help), &["service"])?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
-        };
+        let counters =
+            |name: &str, help: &str| register_counters(registry, name, help, &["service"]);
         let gauges = |name: &str, help: &str| {
             let gauges = GaugeVec::new(Opts::new(name, help), &["service"])?;
             registry.register(Box::new(gauges.clone()))?;
@@ -98,9 +95,7 @@
     /// Returns an error if a name is already registered.
     pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
         let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
+            register_counters(registry, name, help, labels)
         };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
@@ -146,11 +141,7 @@
                 "Requests that got no further than their route, by cause",
                 &["cause"],
             )?,
-            store_calls: counters(
-                "heatherknot_store_calls_total",
-                "Calls on the platform's store by result",
-                &["result"],
-            )?,
+            store_calls: register_store_calls(registry)?,
             rollout_stages: counters(
                 "heatherknot_rollout_stages_total",
                 "Rollout stages written by this VM, by service and stage",
@@ -163,6 +154,26 @@
     }
 }
 
+fn register_counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn register_store_calls(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    register_counters(
+        registry,
+        "heatherknot_store_calls_total",
+        "Calls on the platform's store by result",
+        &["result"],
+    )
+}
+
 fn register_servers_reached(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
     let opts = Opts::new(
         "heatherknot_servers_reached",
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -8,6 +8,7 @@
 use heatherknot_http::{LivenessOptions, Pool, PoolConfig};
 use heatherknot_types::prelude::*;
 
+use crate::dialect::Dialect;
 use crate::ewma::{Ewma, decay};
 use crate::reachability::diagnosis::SharedDiagnosis;
 use crate::registration::Registration;
@@ -94,6 +95,24 @@
     }
 }
 
+/// Returns the settings of the connections to backend servers.
+///
+/// A server that has vanished without closing its connections answers no packet. The connect
+/// timeout is short enough for another server to still answer the request, and a probe detects within
+/// two seconds that a request which such a server has taken is lost.
+pub(crate) fn pool_config(dialect: &Dialect) -> PoolConfig {
+    PoolConfig {
+        max_connections: 64,
+        max_idle: IDLE_TIMEOUT,
+        max_idle_non_idempotent: Millis(2_000),
+        connect_timeout: Duration::from_millis(500),
+        liveness: liveness_options(),
+        allow_close_delimited: true,
+        echoed_header: Some(dialect.headers.request_id.clone()),
+        ..PoolConfig::default()
+    }
+}
+
 /// Load that a backend server reports with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLoad {
