--- a/crates/edge/src/reachability/probe.rs
+++ b/crates/edge/src/reachability/probe.rs
@@ -13,15 +13,21 @@
 use crate::upstream::Upstream;
 
 /// Interval between two probes of this VM.
-const INTERVAL: Millis = Millis(100);
+const PROBE_INTERVAL: Millis = Millis(100);
+/// Interval of the checks whether a service can't be reached, while all can be.
+const IDLE_INTERVAL: Millis = Millis(500);
 
 /// Probes servers until the process ends.
 pub(crate) async fn run(cx: Rc<EdgeContext>) {
     for round in 0_usize.. {
-        cx.timer.wait(INTERVAL).await;
-        if let Some(upstream) = next_server(&cx, round) {
-            monoio::spawn(probe(Rc::clone(&cx), upstream));
-        }
+        let interval = match next_server(&cx, round) {
+            Some(upstream) => {
+                monoio::spawn(probe(Rc::clone(&cx), upstream));
+                PROBE_INTERVAL
+            }
+            None => IDLE_INTERVAL,
+        };
+        cx.timer.wait(interval).await;
     }
 }
 
