Let all VMs count the age of a rollout's order from the same assumption

Callers saw a request broken off when a good version was completed: of the model, one request in 600 rollouts.

Two instants were meant to be one: the end of the requests to the previous version, and the earliest time at which a head writes that the rollout is completed. The head added 100 ms to the age of the order, which is assumed to have passed before the first VM receives it; the VMs that send did not, and told each other ages without it.

The assumed age is now part of the age from the receipt of the order on, so that heads, senders and reports share it. What remains between two VMs is the way of the reports.

Refuted as the cause: a response slower than its VM had time for. The request took 2,049 ms where 2,102 were left. It did take longer than the 1,756 ms that were estimated for its server, so estimates are judged apart from this.

--- a/crates/edge/src/rollout/controller.rs
+++ b/crates/edge/src/rollout/controller.rs
@@ -20,8 +20,6 @@
 
 /// How long each head waits for the one before it to write.
 const TURN: Millis = Millis(600);
-/// Assumed age of an order when the first VM receives it.
-const ORDER_AGE: Millis = Millis(100);
 /// Uptime up to which a VM may have received an order long after it was given.
 const STARTUP_TIME: Millis = Millis(5_000);
 
@@ -144,7 +142,7 @@
         });
         for (service, order, age) in inherited {
             let ages = RolloutAges {
-                order: age - ORDER_AGE,
+                order: age,
                 shift: None,
             };
             rollouts.learn_ages(&service, order, ages);
@@ -172,7 +170,7 @@
         order: received.map(|received| (received.revision.0, &received.order)),
         record: record.map(|record| &record.record),
         established: versions.established(),
-        elapsed: received.map_or(Millis(0), |received| received.given.age(now) + ORDER_AGE),
+        elapsed: received.map_or(Millis(0), |received| received.given.age(now)),
         failure: failure.as_deref(),
         answers,
         undrained_vms,
@@ -229,7 +227,7 @@
     let mut record = match (current, versions.order()) {
         (Some(current), _) => current,
         (None, Some(received)) => {
-            let age = received.given.age(now) + ORDER_AGE;
+            let age = received.given.age(now);
             RolloutRecord {
                 order: received.revision.0,
                 target: received.order.target.clone(),
--- a/crates/edge/src/rollout/moment.rs
+++ b/crates/edge/src/rollout/moment.rs
@@ -16,9 +16,14 @@
 impl PastMoment {
     /// Creates a moment that is `now`.
     pub fn new(now: Millis) -> Self {
+        Self::with_age(Millis(0), now)
+    }
+
+    /// Creates a moment whose age is `age` at `now`.
+    pub fn with_age(age: Millis, now: Millis) -> Self {
         Self {
             noted_at: now,
-            age_then: Millis(0),
+            age_then: age,
         }
     }
 
--- a/crates/edge/src/rollout/versions.rs
+++ b/crates/edge/src/rollout/versions.rs
@@ -18,6 +18,9 @@
 use super::record::{RolloutOrder, RolloutRecord, Stage};
 use crate::upstream::Upstream;
 
+/// Assumed age of an order when the first VM receives it.
+const ORDER_AGE: Millis = Millis(100);
+
 /// Which requests a server may get, by its version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum VersionRole {
@@ -68,6 +71,20 @@
     pub given: PastMoment,
 }
 
+impl ReceivedOrder {
+    /// Creates an order that is received at `now`.
+    pub fn new(revision: StoreRevision, order: RolloutOrder, now: Millis) -> Self {
+        Self {
+            revision,
+            order,
+            received_at: now,
+            // All VMs start from the same assumption, so that the one that ends the rollout and those
+            // that send requests expect the deadline at the same time.
+            given: PastMoment::with_age(ORDER_AGE, now),
+        }
+    }
+}
+
 /// A record as it was received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRecord {
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -12,7 +12,6 @@
 use crate::dialect::Dialect;
 use crate::mirror::Change;
 use crate::registration::Registration;
-use crate::rollout::moment::PastMoment;
 use crate::rollout::record::{RECORD_PREFIX, RolloutRecord};
 use crate::rollout::versions::{ReceivedOrder, RolloutAges, VersionTable};
 use crate::settings::Bounds;
@@ -371,13 +370,8 @@
             Ok(order) => {
                 info!(service:% = service, target:% = order.target, limit_ms = order.time_limit.0,
                     revision:% = change.current.revision; "rollout order received");
-                let received_at = self.clock.now();
-                let order = ReceivedOrder {
-                    revision: change.current.revision,
-                    order,
-                    received_at,
-                    given: PastMoment::new(received_at),
-                };
+                let now = self.clock.now();
+                let order = ReceivedOrder::new(change.current.revision, order, now);
                 self.versions.set_order(&service, Some(order));
                 Some(service)
             }
