Wait for late requests of a rollout while a write still arrives before the deadline

The head wrote that a rollout is completed 0.8 s before its deadline, whatever was in flight at the previous version. The 0.8 s are there for a head that is lost and replaced by the next one, which writes 0.6 s later; they were spent in every rollout.

The first head now measures its writes of the earlier stages and waits for requests that are left until twice that time, 200 ms at least, and one interval between two checks are left. Without a measurement, and at the other heads, everything is as before, so a lost head is replaced at the same time. The cause in the record names how many VMs may have requests left.

Evidence: rollout_drain.rs, requests that take 200 and 300 ms longer than expected at time limits from 8 s to 10 minutes. Red before this change with the first scenario: the last request ends 7,440 ms after an order for 8,000 ms, and the head writes at 7,200. Two more tests guard the price: the record is in time although a request never ends, and the next head writes in time if the first one is lost.

--- a/crates/edge/src/rollout/controller.rs
+++ b/crates/edge/src/rollout/controller.rs
@@ -20,6 +20,12 @@
 
 /// How long each head waits for the one before it to write.
 const TURN: Millis = Millis(600);
+/// Interval between two checks whether a stage is due.
+pub const CHECK_INTERVAL: Millis = Millis(200);
+/// Time that a write to the store is expected to take at least.
+const MIN_WRITE_TIME: Millis = Millis(200);
+/// Factor by which a write may take longer than the longest one before.
+const WRITE_SAFETY_FACTOR: u64 = 2;
 /// Uptime up to which a VM may have received an order long after it was given.
 const STARTUP_TIME: Millis = Millis(5_000);
 
@@ -44,6 +50,8 @@
     started: Millis,
     /// The stages that are due, and since when.
     due_since: HashMap<(ServiceName, Stage), Millis>,
+    /// The longest time that a write of this VM has taken in the rollouts in progress.
+    longest_write: Option<Millis>,
 }
 
 /// A record to be written, and what it requires.
@@ -90,12 +98,28 @@
         Self {
             started,
             due_since: HashMap::new(),
+            longest_write: None,
         }
     }
 
-    /// Forgets which stages are due.
+    /// Forgets which stages are due, and how long writes take.
     pub fn reset(&mut self) {
         self.due_since.clear();
+        self.longest_write = None;
+    }
+
+    /// Records how long a write of a stage took until the store answered or the call failed.
+    pub fn record_write(&mut self, took: Millis) {
+        self.longest_write = self.longest_write.max(Some(took));
+    }
+
+    /// Returns how long before the deadline the VM with this turn has to propose a result that waits
+    /// for requests, or `None` if it has measured no write or is not the first one. The others do
+    /// not wait, so that they replace the first one in time.
+    fn write_lead(&self, turn: u64) -> Option<Millis> {
+        let longest = self.longest_write.filter(|_| turn == 0)?;
+        let write = Millis(longest.0 * WRITE_SAFETY_FACTOR).max(MIN_WRITE_TIME);
+        Some(CHECK_INTERVAL + write)
     }
 
     /// Returns the records that this VM has to write now.
@@ -105,9 +129,10 @@
             return Vec::new();
         };
         let now = rollouts.now();
+        let write_lead = self.write_lead(turn);
         self.recall_ages(rollouts, view);
         let due = rollouts.with_versions(|service, versions| {
-            let transition = next_transition(rollouts, view, service, versions)?;
+            let transition = next_transition(rollouts, view, service, versions, write_lead)?;
             Some((service.clone(), transition))
         });
         let is_due = |key: &(ServiceName, Stage)| {
@@ -155,6 +180,7 @@
     view: &FleetView<'_>,
     service: &ServiceName,
     versions: &ServiceVersions,
+    write_lead: Option<Millis>,
 ) -> Option<Transition> {
     let now = rollouts.now();
     let received = versions.order();
@@ -175,6 +201,7 @@
         answers,
         undrained_vms,
         stage_age: record.map_or(Millis(0), |record| record.stage_began.age(now)),
+        write_lead,
     };
     plan::next_stage_with(&progress, response_time)
 }
--- a/crates/edge/src/rollout/plan.rs
+++ b/crates/edge/src/rollout/plan.rs
@@ -26,8 +26,8 @@
 const SHIFT_FRACTION: f64 = 0.45;
 const MIN_SHIFT_TIME: Millis = Millis(5_500);
 const MAX_SHIFT_TIME: Millis = Millis(8_000);
-/// Time before the deadline at which the result is written even if requests are still in flight at
-/// the previous version.
+/// Time before the deadline by which the previous version has to have answered all requests. A VM
+/// that does not know how long its writes take writes the result then, even if some are left.
 const FINISH_MARGIN: Millis = Millis(800);
 /// Time after the deadline for which a rollout that has missed it still waits for requests in flight
 /// at the previous version.
@@ -64,6 +64,9 @@
     pub undrained_vms: Option<usize>,
     /// Time since this VM has learned of the record's stage.
     pub stage_age: Millis,
+    /// How long before the deadline this VM has to propose the result, so that its record reaches
+    /// the store in time; `None` if it does not know how long its writes take.
+    pub write_lead: Option<Millis>,
 }
 
 /// The stage that a rollout has to enter, with the reason.
@@ -155,16 +158,21 @@
             "no request is left at the previous version",
         ));
     }
-    let is_due = progress.elapsed + FINISH_MARGIN >= time_limit;
+    // While a write still arrives in time, it waits for requests that take longer than expected.
+    let margin = progress.write_lead.unwrap_or(FINISH_MARGIN);
+    let is_due = progress.elapsed + margin.min(FINISH_MARGIN) >= time_limit;
     // Once the deadline has passed, a rollout gains nothing by breaking off requests.
     let is_overdue = progress.elapsed >= time_limit;
     let is_due = is_due && (!is_overdue || progress.elapsed >= time_limit + OVERDUE_DRAIN_TIME);
     let has_propagated = progress.stage_age >= MIN_RAMP + RAMP_LAG;
     (is_due && has_propagated).then(|| {
-        transition(
-            Stage::Completed,
-            "the deadline is near; requests may be left at the previous version",
-        )
+        let left = progress.undrained_vms.map_or_else(
+            || "an unknown number of VMs".to_owned(),
+            |count| format!("{count} VMs"),
+        );
+        let cause =
+            format!("the deadline is near; {left} may have requests left at the previous version");
+        transition(Stage::Completed, &cause)
     })
 }
 
--- a/crates/edge/src/rollout/writer.rs
+++ b/crates/edge/src/rollout/writer.rs
@@ -9,14 +9,12 @@
 use heatherknot_types::prelude::*;
 use log::{info, warn};
 
-use super::controller::{Controller, FleetView, Proposal};
+use super::controller::{CHECK_INTERVAL, Controller, FleetView, Proposal};
 use super::record::RolloutRecord;
 use crate::context::EdgeContext;
 use crate::presence;
 
-/// Interval between two checks whether a stage is due.
-const CHECK_INTERVAL: Millis = Millis(200);
-/// The same while no rollout is in progress.
+/// Interval between two checks whether a stage is due while no rollout is in progress.
 const IDLE_INTERVAL: Millis = Millis(2_000);
 
 /// Writes records until the process ends.
@@ -37,7 +35,8 @@
             continue;
         }
         for proposal in proposals(&cx, &mut controller) {
-            write(&cx, proposal).await;
+            let took = write(&cx, &proposal).await;
+            controller.record_write(took);
         }
     }
 }
@@ -55,14 +54,17 @@
     controller.proposals(&cx.rollouts, &view)
 }
 
-/// Writes a record and the operators' status.
-async fn write(cx: &EdgeContext, proposal: Proposal) {
+/// Writes a record and the operators' status. Returns how long the store took to answer.
+async fn write(cx: &EdgeContext, proposal: &Proposal) -> Millis {
     let Proposal {
         service, record, ..
-    } = &proposal;
-    let values = values(cx, &proposal);
+    } = proposal;
+    let values = values(cx, proposal);
     let stage = record.stage;
-    match cx.store.txn(transaction(cx, &proposal, &values)).await {
+    let began = cx.now();
+    let result = cx.store.txn(transaction(cx, proposal, &values)).await;
+    let took = cx.now().since(began);
+    match result {
         Ok(done) if done.succeeded => {
             info!(service:% = service, stage:? = stage, cause = record.cause.as_str(); "rollout stage written");
             let labels = [service.as_str(), stage.label()];
@@ -76,6 +78,7 @@
             warn!(service:% = service, stage:? = stage, step:% = error.step, error:% = error.source; "writing a rollout stage failed");
         }
     }
+    took
 }
 
 /// Reads a record that this VM has written, so that its peers receive it before the watch reports
--- a/crates/edge/tests/rollout_drain.rs
+++ b/crates/edge/tests/rollout_drain.rs
@@ -29,7 +29,9 @@
 const REPORT_INTERVAL: u64 = 250;
 /// Interval between two checks of a head whether a stage is due.
 const CHECK_INTERVAL: u64 = 200;
-/// When the VMs receive the order, and when the head writes the canary stage.
+/// How long a write to the store takes.
+const WRITE_TIME: u64 = 60;
+/// When the head receives the order, and when it writes the canary stage.
 const ORDER_RECEIVED: u64 = 100;
 const CANARY_AT: u64 = 300;
 /// Part of the time limit after which the traffic shifts.
@@ -46,6 +48,12 @@
     time_limit: u64,
     /// How long the requests before the shift took.
     response_time: u64,
+    /// How much longer the last request takes than its VM may expect.
+    excess: u64,
+    /// Time between the receipt of the order by the head and by the VM that sends.
+    order_lag: u64,
+    /// Whether the head has measured how long its writes take.
+    has_written: bool,
 }
 
 /// What happened at the end of a rollout; times count from the order.
@@ -182,6 +190,16 @@
         rollout
     }
 
+    /// Adds a head that writes before the one that is played, and that never does.
+    fn add_silent_head(&mut self) {
+        let entry = VmEntry {
+            domain: "north-0".into(),
+            ..vm_entry("vm-0")
+        };
+        self.vms.push(entry);
+        self.topology = FeedTopology::new(&self.vms);
+    }
+
     fn apply(&self, changes: &[Change]) {
         self.head.apply(changes);
         self.sender.apply(changes);
@@ -244,24 +262,31 @@
         let order = format!("v2 {}", self.scenario.time_limit);
         let order = put("rollout/gallery", order, 3);
         self.advance_to(ORDER_RECEIVED);
-        self.apply(&[order]);
+        self.head.apply(std::slice::from_ref(&order));
+        self.advance_to(ORDER_RECEIVED + self.scenario.order_lag);
+        self.sender.apply(&[order]);
         self.advance_to(CANARY_AT);
         self.apply_record(Stage::Canary, 4);
         let requests = self.sender.send_to_all();
         self.advance_to(CANARY_AT + self.scenario.response_time);
         requests.into_iter().for_each(Request::finish);
+        if self.scenario.has_written {
+            self.controller.record_write(Millis(WRITE_TIME));
+        }
         self.advance_to((self.scenario.time_limit as f64 * SHIFT_AT) as u64);
         self.apply_record(Stage::Shift, 5);
     }
 
     /// Plays the shift. The VM sends to the previous version for as long as it may. Only its latest
-    /// request is followed, which takes as long as the VM expects.
+    /// request is followed, which takes as long as the VM expects, and the excess.
     fn end(&mut self) -> End {
         let Scenario {
             time_limit,
             response_time,
+            excess,
+            ..
         } = self.scenario;
-        let took = response_time * 5 / 4;
+        let took = response_time * 5 / 4 + excess;
         let mut in_flight: Option<Request> = None;
         let mut drained_at = self.now();
         while self.now() < time_limit + GRACE {
@@ -312,6 +337,9 @@
         .map(|(time_limit, response_time)| Scenario {
             time_limit,
             response_time,
+            excess: 0,
+            order_lag: 0,
+            has_written: false,
         })
 }
 
@@ -324,3 +352,61 @@
         assert!(end.drained_at <= end.completed_at, "{scenario:?}: {end:?}");
     }
 }
+
+/// Guards against requests that are broken off while there is time to wait for them.
+#[test]
+fn the_head_waits_for_late_requests_while_a_write_is_in_time() {
+    for scenario in scenarios() {
+        for (excess, order_lag) in [(0, 160), (300, 0), (200, 100)] {
+            let scenario = Scenario {
+                excess,
+                order_lag,
+                has_written: true,
+                ..scenario
+            };
+
+            let end = play(scenario);
+
+            assert!(end.drained_at <= end.completed_at, "{scenario:?}: {end:?}");
+        }
+    }
+}
+
+/// Guards against good versions that are late because of a request that takes too long.
+#[test]
+fn a_rollout_is_completed_in_time_although_a_request_is_left() {
+    for scenario in scenarios() {
+        for has_written in [false, true] {
+            let scenario = Scenario {
+                excess: 20_000,
+                has_written,
+                ..scenario
+            };
+
+            let end = play(scenario);
+
+            let written_at = end.completed_at + WRITE_TIME;
+            assert!(written_at <= scenario.time_limit, "{scenario:?}: {end:?}");
+        }
+    }
+}
+
+/// Guards against a head that is lost while it waits, and that the next one replaces too late.
+#[test]
+fn the_next_head_writes_in_time_if_the_first_one_does_not() {
+    for scenario in scenarios() {
+        let scenario = Scenario {
+            excess: 20_000,
+            has_written: true,
+            ..scenario
+        };
+        let mut rollout = Rollout::new(scenario);
+        rollout.add_silent_head();
+        rollout.start();
+
+        let end = rollout.end();
+
+        let written_at = end.completed_at + WRITE_TIME;
+        assert!(written_at <= scenario.time_limit, "{scenario:?}: {end:?}");
+    }
+}
--- a/crates/edge/tests/rollouts.rs
+++ b/crates/edge/tests/rollouts.rs
@@ -26,6 +26,9 @@
 /// Default number of seeds of each scenario.
 const SEEDS: u64 = 6;
 
+/// Seeds whose good version once cut a request off.
+const CUT_OFF_ONCE: [u64; 1] = [1_300_528];
+
 const FAULTS: [Fault; 8] = [
     Fault::FailingServers,
     Fault::SlowServers,
@@ -203,6 +206,16 @@
     assert_eq!(summary.cut_off, 0, "{summary:?}");
 }
 
+/// Guards against requests that the seeds which once showed it cut off again.
+#[test]
+fn seeds_that_once_cut_a_request_off_no_longer_do() {
+    for seed in CUT_OFF_ONCE {
+        let outcome = simulate(&good(seed));
+
+        assert_eq!(outcome.cut_off, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
 /// Guards against a version that fails at once and gets more than its share of the requests.
 #[test]
 fn a_version_that_fails_at_once_is_rolled_back() {
@@ -358,6 +371,32 @@
     assert_holds_at(few, "few VMs");
 }
 
+fn within(time_limit: u64) -> impl Fn(u64) -> Scenario {
+    move |seed| Scenario {
+        time_limit,
+        ..good(seed)
+    }
+}
+
+/// Guards against a VM that does not know yet that the traffic shifts, and sends requests to slow
+/// servers of the previous version that they can't answer before they stop.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn no_request_is_cut_off_within_11_seconds() {
+    let summary = Summary::of(within(11_000), "good within 11 seconds");
+
+    assert_eq!(summary.cut_off, 0, "{summary:?}");
+}
+
+/// Guards against a request that takes longer than any before it at its server and the usual ones.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn no_request_is_cut_off_within_10_seconds() {
+    let summary = Summary::of(within(10_000), "good within 10 seconds");
+
+    assert_eq!(summary.cut_off, 0, "{summary:?}");
+}
+
 /// Guards against times and counts that hold only for few VMs and a short time limit.
 #[test]
 #[ignore = "takes minutes"]
@@ -576,6 +615,7 @@
         answers: (0, 0),
         undrained_vms: None,
         stage_age: Millis(5_000),
+        write_lead: None,
     }
 }
 
--- a/crates/edge/tests/support/rollout_model.rs
+++ b/crates/edge/tests/support/rollout_model.rs
@@ -211,7 +211,8 @@
     ReceiveReport(usize, u64, usize, Report),
     ReceiveAnswer(usize, u64, Vec<(ServiceName, u64)>, Answer),
     Check(usize, u64),
-    Write(Proposal),
+    /// The store receives a record that this run of a VM has sent at this time.
+    Write(usize, u64, u64, Proposal),
     Read(usize, u64),
     Fault(Fault),
     Repair(Fault, Vec<usize>),
@@ -418,7 +419,13 @@
                 }
             }
             Event::Check(vm, run) => self.check(vm, run),
-            Event::Write(proposal) => self.write(proposal),
+            Event::Write(vm, run, sent_at, proposal) => {
+                self.write(proposal);
+                if self.is_alive(vm, run) {
+                    let took = Millis(self.now - sent_at);
+                    self.vms[vm].controller.record_write(took);
+                }
+            }
             Event::Read(vm, run) => self.read(vm, run),
             Event::Fault(fault) => self.strike(fault),
             Event::Repair(fault, affected) => self.repair(fault, &affected),
@@ -521,7 +528,8 @@
                 true => self.rng.u64(1_000..5_000),
                 false => self.rng.u64(5..120),
             };
-            self.schedule_in(delay, Event::Write(proposal));
+            let write = Event::Write(number, run, self.now, proposal);
+            self.schedule_in(delay, write);
         }
         self.schedule_in(CHECK_INTERVAL, Event::Check(number, run));
     }
