--- a/crates/edge/tests/rollouts.rs
+++ b/crates/edge/tests/rollouts.rs
@@ -378,8 +378,7 @@
     }
 }
 
-/// Guards against a VM that does not know yet that the traffic shifts, and sends requests to slow
-/// servers of the previous version that they can't answer before they stop.
+/// Guards against requests to slow servers by VMs that have not learned of the shift yet.
 #[test]
 #[ignore = "known to fail, see KNOWN-RED.txt"]
 fn no_request_is_cut_off_within_11_seconds() {
@@ -388,7 +387,7 @@
     assert_eq!(summary.cut_off, 0, "{summary:?}");
 }
 
-/// Guards against a request that takes longer than any before it at its server and the usual ones.
+/// Guards against requests that take longer than any before them at their server.
 #[test]
 #[ignore = "known to fail, see KNOWN-RED.txt"]
 fn no_request_is_cut_off_within_10_seconds() {
