Count retries by the part of the budget that grants them

Three causes of retries beyond a service's budget were not told apart by any metric: retries that the VMs' parts allow together, arrivals that no budget granted, and a fixed part granted to each run anew. Each VM now counts retries as proportional, fixed or denied, and logs one line a second for each service with a retry.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -42,13 +42,15 @@
 use crate::switches::{Mechanism, Switches};
 use crate::{
     call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
-    presence, reachability, reply, request_limit, rollout, round_trip, stop, upstream,
+    presence, reachability, reply, request_limit, request_log, rollout, round_trip, stop, upstream,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
 const TICK_INTERVAL: Millis = Millis(250);
 /// Number of ticks between two sweeps of idle connections.
 const TICKS_PER_SWEEP: u64 = 8;
+/// Number of ticks between two log lines about the use of a service's retry budget.
+const TICKS_PER_BUDGET_REPORT: u64 = 4;
 /// Purpose from which the token of handed-over requests is derived.
 const HAND_OVER_PURPOSE: &str = "requests handed over";
 /// Purpose from which the key of the quick request hashes is derived.
@@ -480,6 +482,9 @@
         }
         presence::refresh(&cx);
         locality_update::run(&cx);
+        if round.is_multiple_of(TICKS_PER_BUDGET_REPORT) {
+            request_log::record_retry_budgets(&cx);
+        }
         if round.is_multiple_of(TICKS_PER_SWEEP) {
             let routing_state = cx.routing_state.borrow();
             routing_state
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -317,8 +317,11 @@
     if !is_within_limits || history.delivered == 0 {
         return is_within_limits;
     }
-    let mut budget = call.state.budget.borrow_mut();
-    budget.try_take(cx.now(), cx.max_sending_vms())
+    let vms = cx.max_sending_vms();
+    let grant = call.state.budget.borrow_mut().try_take(cx.now(), vms);
+    let labels = [call.service.as_str(), grant.label()];
+    cx.metrics.retries.with_label_values(&labels).inc();
+    grant.is_granted()
 }
 
 /// Builds the final response to a request that no server answered.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -61,6 +61,8 @@
     pub latency: HistogramVec,
     /// Sends to backend servers by service and result.
     pub sends: IntCounterVec,
+    /// Retries by service and the part of the budget that paid for them.
+    pub retries: IntCounterVec,
     /// Metrics of request limits.
     pub limits: LimitMetrics,
     /// Requests that a backend server was running when it crashed, by service.
@@ -114,6 +116,11 @@
                 "Sends to backend servers by service and result",
                 &["service", "result"],
             )?,
+            retries: counters(
+                "heatherknot_retries_total",
+                "Retries by service, and by the part of the budget that paid or as denied",
+                &["service", "grant"],
+            )?,
             limits: LimitMetrics::register(registry)?,
             requests_at_server_crash: counters(
                 "heatherknot_requests_at_server_ends_total",
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -149,6 +149,19 @@
         took_ms = cx.now().since(began).0; "request relayed");
 }
 
+/// Logs what was used of the services' retry budgets since the previous call, for each service with a
+/// retry.
+pub(crate) fn record_retry_budgets(cx: &EdgeContext) {
+    let vms = cx.max_sending_vms();
+    for (service, state) in cx.services.borrow().iter() {
+        let spent = state.budget.borrow_mut().take_use();
+        if spent.proportional + spent.fixed + spent.denied > 0 {
+            info!(service:% = service, requests = spent.requests, proportional = spent.proportional,
+                fixed = spent.fixed, denied = spent.denied, vms; "retry budget used");
+        }
+    }
+}
+
 /// Counts and logs a request that was not admitted.
 pub(crate) fn record_not_admitted(
     cx: &EdgeContext,
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -212,7 +212,7 @@
     for at in 0..100 {
         for budget in &mut budgets {
             budget.record_request(Millis(at * 100));
-            taken += usize::from(budget.try_take(Millis(at * 100), vms));
+            taken += usize::from(budget.try_take(Millis(at * 100), vms).is_granted());
         }
     }
     let most = 0.2 * 900.0 + 58.0;
