--- a/crates/edge/tests/retry_budget.rs
+++ b/crates/edge/tests/retry_budget.rs
@@ -109,6 +109,22 @@
     assert_within_budget("repeated failures", |seed| two_failures(seed, None));
 }
 
+/// Guards against a budget that denies the retries of a short failure.
+#[test]
+fn nearly_all_retries_of_a_short_failure_are_granted() {
+    let outcomes = seeds().map(|seed| {
+        let scenario = Scenario {
+            failures: vec![(15_000, 16_500, 0.5)],
+            ..two_failures(seed, None)
+        };
+        simulate(&scenario, &budget)
+    });
+    let (granted, denied) = outcomes.fold((0, 0), |(granted, denied), outcome| {
+        (granted + outcome.granted(), denied + outcome.denied)
+    });
+    assert!(granted >= 9 * denied, "{granted} granted, {denied} denied");
+}
+
 /// Guards against new VMs that grant retries whose budget their predecessors have used.
 #[test]
 #[ignore = "listed in KNOWN-RED.txt"]
