Count each request for the retry budget at one VM

A request whose home VM broke off, or declined it after it had counted it, was counted once more by the VM of its caller. So it paid for retries at both, and the sum over all VMs was not bound by the requests of callers.

Now the VM of the caller counts a request only if no other VM may have done so, and a home that reaches none of the service's servers declines before it counts. A request that broke off loses its deposit of a tenth of a retry where its home has crashed.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -49,6 +49,8 @@
     permits_denied: u32,
     /// The server whose request limit kept the request from it when it was refused, and that limit.
     pub(crate) limited_by: Option<(UpstreamName, f64)>,
+    /// Whether another VM may have counted the request for the retry budget.
+    pub(crate) is_counted_elsewhere: bool,
     /// The latest error response of a server, unless a later send ended without a usable response.
     failure: Option<Response>,
     /// Cause of the latest failed send or of the refusal, for the response and the log.
@@ -112,15 +114,16 @@
     if let Some(response) = hand_over::hand_over(cx, &mut call, &mut history).await {
         return response;
     }
+    let is_service_lost = call.state.reachability.is_lost();
+    if is_service_lost && call.assigned_server.is_some() {
+        return hand_over::decline_unreached();
+    }
     // A request that was handed over counts at the home VM, which makes its retries. One that was
     // relayed has been counted by the VM that relayed it.
-    if !call.is_relayed {
+    if !call.is_relayed && !history.is_counted_elsewhere {
         call.state.budget.borrow_mut().record_request(call.started);
     }
-    if call.state.reachability.is_lost() {
-        if call.assigned_server.is_some() {
-            return hand_over::decline_unreached();
-        }
+    if is_service_lost {
         let reason = RelayReason::ServiceLost;
         if let Some(response) = relay::relay(cx, &mut call, &mut history, reason).await {
             return response;
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -180,6 +180,7 @@
         log::info!(id = call.id(cx), home:% = home.vm, upstream:% = upstream.id, result = label, cause = outcome.cause(),
             took_ms = cx.now().since(began).0; "handing over a request got no response");
     }
+    history.is_counted_elsewhere = !matches!(outcome, HandOverOutcome::NotStarted(_));
     match outcome {
         HandOverOutcome::Answered(response) => {
             cx.relay_targets
