Take a retry from the budget before a rejected request is relayed

A VM that reaches few servers relayed a request after one of them had rejected it. The other VM's send is a further arrival of the request at the service, but no budget paid for it.

Now the relay of a request that was delivered once takes a retry of its VM's budget; without one the rejection goes to the caller.

Evidence: the new test, with a budget of zero and one reachable server that rejects, counted 30 of 30 rejected requests that another VM sent once more before, and none now.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -293,7 +293,7 @@
     }
 
     /// Returns whether any send reached a server.
-    fn was_delivered(&self) -> bool {
+    pub(crate) fn was_delivered(&self) -> bool {
         self.delivered > 0
     }
 
@@ -320,6 +320,11 @@
     if !is_within_limits || history.delivered == 0 {
         return is_within_limits;
     }
+    take_retry(cx, call)
+}
+
+/// Takes a retry from the budget. Returns whether one was left.
+pub(crate) fn take_retry(cx: &EdgeContext, call: &Call) -> bool {
     let vms = cx.max_sending_vms();
     let grant = call.state.budget.borrow_mut().try_take(cx.now(), vms);
     let labels = [call.service.as_str(), grant.label()];
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A relayed request is handed over like one for a home VM, and follows the same rules: the VM that
 //! received it from the caller has chosen the route, the split target and the object's server, and
-//! counts it for the account and the retry budget. A VM that reaches no server for it declines, and
+//! counts it for the account and the retry budget, which pays for the relay of a request that a server has
+//! rejected. A VM that reaches no server for it declines, and
 //! never relays it further, so requests can't circulate where all servers are down.
 
 pub mod targets;
@@ -15,7 +16,7 @@
 use crate::call::Call;
 use crate::call_selection;
 use crate::context::EdgeContext;
-use crate::forward::SendHistory;
+use crate::forward::{self, SendHistory};
 use crate::hand_over::{self, HandOverOutcome, Purpose};
 use crate::homes::HomeVm;
 use crate::poison::guard;
@@ -56,6 +57,9 @@
         return None;
     }
     let server = call_selection::first_ranked_anywhere(cx, call)?;
+    if history.was_delivered() && !forward::take_retry(cx, call) {
+        return None;
+    }
     let mut tried: Vec<VmName> = Vec::new();
     while tried.len() < MAX_ATTEMPTS && call.body.can_send() && call.time_left(cx.now()).0 > 0 {
         let vm = select_target(cx, call, &tried)?;
