Log and count the backoffs that servers ask for

The logs of the incident do not tell what a server asked for, so a VM that reads Retry-After on some ways of sending only could not be told from one that never reads it. Each VM now logs when a backend server's own rejection asks for a backoff, and counts such servers and the requests that are sent to them meanwhile. No decision is changed.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -10,6 +10,7 @@
 use heatherknot_types::prelude::*;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
+use crate::backpressure;
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::reachability;
@@ -196,6 +197,7 @@
         return SendOutcome::NotSent("its server's identifier is no header value");
     };
     request_limit::record::record_send(cx, upstream);
+    backpressure::record_send(cx, upstream);
     let in_flight = upstream.start_request();
     let options = SendOptions {
         deadline: Some(call.deadline),
@@ -213,6 +215,7 @@
     reachability::record_response(cx, &call.state, upstream);
     record_load(cx, call, candidate, &response.headers, sent);
     record_request_limit(cx, candidate, &response, sent);
+    backpressure::record_response(cx, upstream, &response);
     if let Some(outcome) = detect_refusal(cx, candidate, &response) {
         return outcome;
     }
--- /dev/null
+++ b/crates/edge/src/backpressure.rs
@@ -0,0 +1,126 @@
+//! What a backend server asks of this VM in its responses: to send it nothing for a while.
+
+use std::cell::Cell;
+
+use heatherknot_http::Response;
+use heatherknot_types::prelude::*;
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, StatusCode};
+use log::{info, warn};
+
+use crate::context::EdgeContext;
+use crate::request_limit::observed;
+use crate::routing_state::RoutingState;
+use crate::upstream::Upstream;
+
+/// Longest backoff that a server can ask for with one response.
+const MAX_BACKOFF: Millis = Millis(600_000);
+/// Maximum length of an invalid value in the log, in characters.
+const MAX_LOGGED_VALUE_CHARS: usize = 40;
+
+/// What a run of a backend server has asked of this VM.
+#[derive(Debug, Default)]
+pub struct RunSignals {
+    backoff_until: Cell<Millis>,
+}
+
+impl RunSignals {
+    /// Starts a backoff, or extends it. A shorter one does not end the one in progress, which the
+    /// server has asked for as well.
+    pub fn back_off(&self, asked: Millis, now: Millis) {
+        let until = now + asked.min(MAX_BACKOFF);
+        self.backoff_until.set(until.max(self.backoff_until.get()));
+    }
+
+    /// Returns whether the server has asked for no requests at `now`.
+    pub fn is_in_backoff(&self, now: Millis) -> bool {
+        now < self.backoff_until.get()
+    }
+
+    /// Returns the end of the latest backoff.
+    pub fn backoff_until(&self) -> Millis {
+        self.backoff_until.get()
+    }
+}
+
+/// Parses a time in seconds, which may have a fraction.
+///
+/// # Errors
+///
+/// Returns what is wrong with the value if it isn't a finite decimal number of at least zero.
+pub fn parse_backoff(text: &str) -> Result<Millis, &'static str> {
+    let secs = observed::parse(text)?;
+    Ok(Millis(
+        (secs * 1000.0).min(MAX_BACKOFF.0 as f64).ceil() as u64
+    ))
+}
+
+/// Records what a response asks for. Only the server's own response counts: another server or an
+/// intermediary may have responded in its place.
+pub(crate) fn record_response(cx: &EdgeContext, upstream: &Upstream, response: &Response) {
+    let names = &cx.dialect.headers;
+    let headers = &response.headers;
+    let is_genuine = headers.contains_key(&names.signature) || headers.contains_key(&names.not_run);
+    if !is_genuine || response.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    if let Some(asked) = read_backoff(cx, upstream, headers).filter(|asked| asked.0 > 0) {
+        record_backoff(cx, upstream, asked);
+    }
+}
+
+/// Returns the backoff that a rejection asks for, if any. An invalid one is logged and ignored.
+fn read_backoff(cx: &EdgeContext, upstream: &Upstream, headers: &HeaderMap) -> Option<Millis> {
+    let value = headers.get(RETRY_AFTER)?;
+    let text = value.to_str().map_err(|_| "not text");
+    match text.and_then(parse_backoff) {
+        Ok(asked) => Some(asked),
+        Err(cause) => {
+            if cx.backoff_log.borrow_mut().try_take(cx.now()) {
+                let value = String::from_utf8_lossy(value.as_bytes());
+                let value: String = value.chars().take(MAX_LOGGED_VALUE_CHARS).collect();
+                warn!(upstream:% = upstream.id, value = value.as_str(), cause;
+                    "a backend server asks for an invalid backoff");
+            }
+            None
+        }
+    }
+}
+
+fn record_backoff(cx: &EdgeContext, upstream: &Upstream, asked: Millis) {
+    let now = cx.now();
+    let is_renewed = upstream.signals.is_in_backoff(now);
+    upstream.signals.back_off(asked, now);
+    if is_renewed {
+        return;
+    }
+    let counter = &cx.metrics.backpressure.backoffs;
+    counter
+        .with_label_values(&[upstream.service.as_str()])
+        .inc();
+    info!(upstream:% = upstream.id, service:% = upstream.service, asked_ms = asked.0,
+        in_flight = upstream.in_flight(); "backend server asked for a backoff");
+}
+
+/// Counts a request that is sent to a server in spite of its backoff.
+pub(crate) fn record_send(cx: &EdgeContext, upstream: &Upstream) {
+    if upstream.signals.is_in_backoff(cx.now()) {
+        let counter = &cx.metrics.backpressure.sends;
+        counter
+            .with_label_values(&[upstream.service.as_str()])
+            .inc();
+    }
+}
+
+/// Updates the number of servers in a backoff, by service.
+pub(crate) fn update_metrics(cx: &EdgeContext, routing_state: &RoutingState) {
+    let now = cx.now();
+    for service in cx.services.borrow().keys() {
+        let servers = routing_state.upstreams(service);
+        let backing_off = servers.iter().filter(|u| u.signals.is_in_backoff(now));
+        let gauge = &cx.metrics.backpressure.servers;
+        gauge
+            .with_label_values(&[service.as_str()])
+            .set(backing_off.count() as f64);
+    }
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -112,6 +112,8 @@
     pub round_trips: RegionRoundTrips,
     /// Limits the log lines about requests over their accounts' limits.
     pub over_limit_log: RefCell<LogRateLimit>,
+    /// Limits the log lines about invalid backoffs of backend servers.
+    pub backoff_log: RefCell<LogRateLimit>,
     /// This VM's part in enforcing the request limits of backend servers.
     pub request_limits: Rc<RequestLimits>,
     /// Metrics.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -41,8 +41,9 @@
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
 use crate::{
-    call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed, poison,
-    presence, reachability, reply, request_limit, request_log, rollout, round_trip, stop, upstream,
+    backpressure, call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed,
+    poison, presence, reachability, reply, request_limit, request_log, rollout, round_trip, stop,
+    upstream,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -225,6 +226,7 @@
         poison,
         rollouts,
         over_limit_log: RefCell::default(),
+        backoff_log: RefCell::default(),
         request_limits,
         round_trips: RegionRoundTrips::default(),
         metrics,
@@ -494,6 +496,7 @@
             cx.homes.sweep();
             request_limit::status::update_metrics(&cx, &routing_state);
             reachability::update_metrics(&cx, &routing_state);
+            backpressure::update_metrics(&cx, &routing_state);
             let version = routing_state.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 mod attempt;
+pub mod backpressure;
 pub mod budget;
 mod call;
 mod call_selection;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,11 +26,7 @@
     fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
         let counters =
             |name: &str, help: &str| register_counters(registry, name, help, &["service"]);
-        let gauges = |name: &str, help: &str| {
-            let gauges = GaugeVec::new(Opts::new(name, help), &["service"])?;
-            registry.register(Box::new(gauges.clone()))?;
-            Ok::<_, prometheus::Error>(gauges)
-        };
+        let gauges = |name: &str, help: &str| register_gauges(registry, name, help);
         Ok(Self {
             sends: counters(
                 "heatherknot_sends_to_limited_servers_total",
@@ -52,6 +48,38 @@
     }
 }
 
+/// Metrics of what backend servers ask of this VM, by service.
+pub struct BackpressureMetrics {
+    /// Times that a backend server asked for a backoff.
+    pub backoffs: IntCounterVec,
+    /// Sends to backend servers in a backoff.
+    pub sends: IntCounterVec,
+    /// Number of backend servers in a backoff.
+    pub servers: GaugeVec,
+}
+
+impl BackpressureMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counters =
+            |name: &str, help: &str| register_counters(registry, name, help, &["service"]);
+        Ok(Self {
+            backoffs: counters(
+                "heatherknot_backoffs_total",
+                "Times that a backend server asked for a backoff, by service",
+            )?,
+            sends: counters(
+                "heatherknot_sends_in_backoff_total",
+                "Sends to backend servers that had asked for a backoff, by service",
+            )?,
+            servers: register_gauges(
+                registry,
+                "heatherknot_servers_in_backoff",
+                "Backend servers that have asked for a backoff, by service",
+            )?,
+        })
+    }
+}
+
 /// Metrics of a daemon. Label values are service names, and outcomes and causes from the code,
 /// never anything that a caller sends.
 pub struct EdgeMetrics {
@@ -63,6 +91,8 @@
     pub sends: IntCounterVec,
     /// Retries by service and the part of the budget that paid for them.
     pub retries: IntCounterVec,
+    /// Metrics of what backend servers ask of this VM.
+    pub backpressure: BackpressureMetrics,
     /// Metrics of request limits.
     pub limits: LimitMetrics,
     /// Requests that a backend server was running when it crashed, by service.
@@ -121,13 +151,18 @@
                 "Retries by service, and by the part of the budget that paid or as denied",
                 &["service", "grant"],
             )?,
+            backpressure: BackpressureMetrics::register(registry)?,
             limits: LimitMetrics::register(registry)?,
             requests_at_server_crash: counters(
                 "heatherknot_requests_at_server_ends_total",
                 "Requests that a backend server had when it ended, by service",
                 &["service"],
             )?,
-            servers_reached: register_servers_reached(registry)?,
+            servers_reached: register_gauges(
+                registry,
+                "heatherknot_servers_reached",
+                "Backend servers that this VM reaches, by service",
+            )?,
             handed_over: counters(
                 "heatherknot_handed_total",
                 "Requests handed to the homes of their servers, by result",
@@ -181,12 +216,12 @@
     )
 }
 
-fn register_servers_reached(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
-    let opts = Opts::new(
-        "heatherknot_servers_reached",
-        "Backend servers that this VM reaches, by service",
-    );
-    let gauges = GaugeVec::new(opts, &["service"])?;
+fn register_gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<GaugeVec, prometheus::Error> {
+    let gauges = GaugeVec::new(Opts::new(name, help), &["service"])?;
     registry.register(Box::new(gauges.clone()))?;
     Ok(gauges)
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -8,6 +8,7 @@
 use heatherknot_http::{LivenessOptions, Pool, PoolConfig};
 use heatherknot_types::prelude::*;
 
+use crate::backpressure::RunSignals;
 use crate::dialect::Dialect;
 use crate::ewma::{Ewma, decay};
 use crate::reachability::diagnosis::SharedDiagnosis;
@@ -71,6 +72,8 @@
     pub registered_at: Millis,
     /// Its request limit, if it has stated one.
     pub request_limit: RefCell<Option<Box<LimitState>>>,
+    /// What this run has asked of this VM.
+    pub signals: Rc<RunSignals>,
     /// Why the latest connection to it broke.
     pub(crate) diagnosis: RefCell<Option<SharedDiagnosis>>,
     in_flight: Cell<u32>,
@@ -165,6 +168,7 @@
             unrestricted_share: Cell::new(1.0),
             registered_at: clock.now(),
             request_limit: RefCell::default(),
+            signals: Rc::default(),
             diagnosis: RefCell::default(),
             in_flight: Cell::new(0),
             other_load: Ewma::default(),
