Send nothing to a backend server for as long as it asks for a backoff

Callers' requests went to servers that rejected all of them: a server that asked a VM for 3 s without requests got 46 in that time, each rejection cost the request a retry of the budget, and a quarter of a class was refused although other servers had room.

A rejection kept only its own request from being sent there again, the next one went to the same server by rank.

Now a VM keeps the backoff by run of the server, also where the entry is lost and returns. A server in a backoff is no candidate on any way of sending, and a request that was selected before is withheld when its connection is there. After the backoff the server gets one request at a time, and one more with each response. If all servers are in a backoff, requests are refused at once, and callers return spread from the end of the first one on.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -44,6 +44,8 @@
     NotRun(&'static str),
     /// No byte of the request reached the backend server.
     NotSent(&'static str),
+    /// The request was withheld, because the backend server no longer takes requests.
+    Withheld(&'static str),
     /// The backend server may have run the request, but there is no usable response.
     Unknown(&'static str),
     /// Like `Unknown`, because the connection or the response broke off.
@@ -62,6 +64,7 @@
             SendOutcome::Failure(_) => "failed",
             SendOutcome::NotRun(_) => "not-run",
             SendOutcome::NotSent(_) => "not-sent",
+            SendOutcome::Withheld(_) => "withheld",
             SendOutcome::Unknown(_) => "unknown",
             SendOutcome::Broken(_) => "broken",
             SendOutcome::TimedOut => "late",
@@ -78,6 +81,7 @@
             }
             SendOutcome::NotRun(_)
             | SendOutcome::NotSent(_)
+            | SendOutcome::Withheld(_)
             | SendOutcome::Unknown(_)
             | SendOutcome::CallerDisconnected => SendResult::Unrelated,
         }
@@ -204,7 +208,9 @@
         idempotent: call.route.idempotent,
         new_connection: false,
     };
-    let mut response = match upstream.pool.send(head, body, options).await {
+    let may_send = || backpressure::may_send(cx, upstream);
+    let exchange = upstream.pool.send_if(head, body, options, may_send);
+    let mut response = match exchange.await {
         Ok(response) => response,
         Err(error) => return outcome_of_error(cx, call, candidate, &error),
     };
@@ -394,6 +400,9 @@
     let upstream = &candidate.upstream;
     let now = cx.now();
     log::debug!(id = call.id(cx), upstream:% = upstream.id, error:% = error; "sending a request failed");
+    if matches!(error, SendError::Withheld { .. }) {
+        return SendOutcome::Withheld("the server no longer takes requests");
+    }
     if matches!(error, SendError::RequestBody { .. }) {
         return match error.send_progress() {
             SendProgress::NotSent => SendOutcome::NotSent("the caller's body broke off"),
--- a/crates/edge/src/backpressure.rs
+++ b/crates/edge/src/backpressure.rs
@@ -15,6 +15,9 @@
 
 /// Longest backoff that a server can ask for with one response.
 const MAX_BACKOFF: Millis = Millis(600_000);
+/// Shortest extension of a backoff that is logged. Each rejection of a request in flight extends it a
+/// little.
+const MIN_LOGGED_EXTENSION: Millis = Millis(1_000);
 /// Maximum length of an invalid value in the log, in characters.
 const MAX_LOGGED_VALUE_CHARS: usize = 40;
 
@@ -22,6 +25,8 @@
 #[derive(Debug, Default)]
 pub struct RunSignals {
     backoff_until: Cell<Millis>,
+    /// Number of requests that may be in flight while the load returns after a backoff.
+    max_in_flight: Cell<Option<u32>>,
 }
 
 impl RunSignals {
@@ -30,6 +35,32 @@
     pub fn back_off(&self, asked: Millis, now: Millis) {
         let until = now + asked.min(MAX_BACKOFF);
         self.backoff_until.set(until.max(self.backoff_until.get()));
+        self.max_in_flight.set(Some(1));
+    }
+
+    /// Returns whether the server gets no further request at `now`, with `in_flight` of this VM there.
+    ///
+    /// After a backoff it gets one at a time, and one more with each response. The full load at once
+    /// would make it reject again.
+    pub fn holds_back(&self, in_flight: u32, now: Millis) -> bool {
+        let is_full = self.max_in_flight.get().is_some_and(|max| in_flight >= max);
+        is_full || self.is_in_backoff(now)
+    }
+
+    /// Records a response that accepted its request, from a server that runs `slots` at once.
+    pub fn record_accepted(&self, slots: u32, now: Millis) {
+        if let Some(max) = self
+            .max_in_flight
+            .get()
+            .filter(|_| !self.is_in_backoff(now))
+        {
+            self.max_in_flight.set((max < slots).then_some(max + 1));
+        }
+    }
+
+    /// Returns whether a backoff has ended and no response has come since.
+    fn is_resuming(&self, now: Millis) -> bool {
+        self.max_in_flight.get() == Some(1) && !self.is_in_backoff(now)
     }
 
     /// Returns whether the server has asked for no requests at `now`.
@@ -61,7 +92,14 @@
     let names = &cx.dialect.headers;
     let headers = &response.headers;
     let is_genuine = headers.contains_key(&names.signature) || headers.contains_key(&names.not_run);
-    if !is_genuine || response.status != StatusCode::SERVICE_UNAVAILABLE {
+    if !is_genuine {
+        return;
+    }
+    if !headers.contains_key(&names.not_run) {
+        let slots = upstream.slots.get();
+        upstream.signals.record_accepted(slots, cx.now());
+    }
+    if response.status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
     if let Some(asked) = read_backoff(cx, upstream, headers).filter(|asked| asked.0 > 0) {
@@ -89,27 +127,43 @@
 
 fn record_backoff(cx: &EdgeContext, upstream: &Upstream, asked: Millis) {
     let now = cx.now();
-    let is_renewed = upstream.signals.is_in_backoff(now);
+    let end_before = upstream.signals.backoff_until();
     upstream.signals.back_off(asked, now);
-    if is_renewed {
+    if now < end_before {
+        let extension = upstream.signals.backoff_until().since(end_before);
+        if extension >= MIN_LOGGED_EXTENSION {
+            info!(upstream:% = upstream.id, service:% = upstream.service, asked_ms = asked.0;
+                "backend server extended its backoff");
+        }
         return;
     }
     let counter = &cx.metrics.backpressure.backoffs;
-    counter
-        .with_label_values(&[upstream.service.as_str()])
-        .inc();
+    let labels = [upstream.service.as_str()];
+    counter.with_label_values(&labels).inc();
     info!(upstream:% = upstream.id, service:% = upstream.service, asked_ms = asked.0,
         in_flight = upstream.in_flight(); "backend server asked for a backoff");
 }
 
-/// Counts a request that is sent to a server in spite of its backoff.
+/// Logs the first send to a server after a backoff.
 pub(crate) fn record_send(cx: &EdgeContext, upstream: &Upstream) {
-    if upstream.signals.is_in_backoff(cx.now()) {
-        let counter = &cx.metrics.backpressure.sends;
+    let now = cx.now();
+    if upstream.signals.is_resuming(now) {
+        let ended = upstream.signals.backoff_until();
+        info!(upstream:% = upstream.id, service:% = upstream.service, ended_before_ms = now.since(ended).0;
+            "backend server gets requests again after a backoff");
+    }
+}
+
+/// Returns whether a request that was selected for a server may still be sent there. Counts it if not.
+pub(crate) fn may_send(cx: &EdgeContext, upstream: &Upstream) -> bool {
+    let may_send = upstream.accepts_requests() && !upstream.signals.is_in_backoff(cx.now());
+    if !may_send {
+        let counter = &cx.metrics.backpressure.withheld;
         counter
             .with_label_values(&[upstream.service.as_str()])
             .inc();
     }
+    may_send
 }
 
 /// Updates the number of servers in a backoff, by service.
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -31,13 +31,22 @@
     pub(crate) retry_after: Millis,
     /// The best available server, if it was expected to respond too late.
     pub(crate) best: Option<Candidate>,
-    /// A server whose request limit kept the request from it, and that limit.
-    pub(crate) limited_by: Option<(UpstreamName, f64)>,
+    /// What kept the request from a server that is otherwise available.
+    pub(crate) held_back: Option<HeldBack>,
     /// Whether this VM reaches less than half of the servers that may run the request, so that
     /// another VM might serve it.
     pub(crate) is_cut_off: bool,
 }
 
+/// What keeps a request from a server.
+#[derive(Clone, Debug)]
+pub(crate) enum HeldBack {
+    /// The server's request limit.
+    Limit(UpstreamName, f64),
+    /// The server's backoff, which is the first to end, and the rest of it.
+    Backoff(UpstreamName, Millis),
+}
+
 impl Refusal {
     /// Refuses a request that is suspected of crashing servers.
     pub(crate) fn suspected(cause: &'static str, retry_after: Millis) -> Self {
@@ -72,9 +81,10 @@
 }
 
 impl Exclusions<'_> {
-    /// Returns whether a server's request limit keeps the request from it.
+    /// Returns whether a server's request limit or backoff keeps the request from it.
     fn is_held_back(&self, upstream: &Upstream, now: Millis) -> bool {
-        upstream.is_blocked_by_limit(now) || (self.limited && upstream.is_limited())
+        let is_over_limit = self.limited && upstream.is_limited();
+        is_over_limit || upstream.is_blocked_by_limit(now) || upstream.is_backed_off(now)
     }
 }
 
@@ -104,7 +114,8 @@
     };
     let locality = locality(cx, call);
     let Some(best) = select(&params, &candidates, &call.state.service_times, locality) else {
-        let held_back = limit_refusal(cx, call, excluded, now);
+        let held_back = limit_refusal(cx, call, excluded, now)
+            .or_else(|| backoff_refusal(cx, call, excluded, now));
         return Err(held_back.unwrap_or_else(|| no_server(cx, call, excluded)));
     };
     // A response after the latency target is worth little, and the work on it would make the next
@@ -249,7 +260,7 @@
         cause,
         retry_after,
         best: None,
-        limited_by: None,
+        held_back: None,
         is_cut_off: false,
     }
 }
@@ -350,7 +361,7 @@
     let draw = cx.rng.borrow_mut().f64();
     let mut returns = call.state.limit_returns.borrow_mut();
     Some(Refusal {
-        limited_by: Some((first.clone(), *per_second)),
+        held_back: Some(HeldBack::Limit(first.clone(), *per_second)),
         ..refuse(
             "the request limits of the backend servers are used up",
             returns.next(first_at.since(now), longest, interval_ms, draw, now),
@@ -358,6 +369,45 @@
     })
 }
 
+/// Refuses a request that only backoffs of the servers keep from being sent. Returns `None` if none
+/// does.
+///
+/// The callers that this VM refuses are to return from the end of the first backoff on, at this VM's
+/// equal part of the rate at which the servers in a backoff can serve them.
+fn backoff_refusal(
+    cx: &EdgeContext,
+    call: &Call,
+    excluded: &Exclusions<'_>,
+    now: Millis,
+) -> Option<Refusal> {
+    // Includes servers that the request was sent to, since the caller may return to them.
+    let untried = Exclusions {
+        tried: &[],
+        ..*excluded
+    };
+    let choices = version_choices(cx, call, excluded.tried).into_iter();
+    let is_backed_off = |u: &Upstream| u.is_backed_off(now);
+    let servers: Vec<Rc<Upstream>> = choices
+        .flat_map(|choice| eligible(cx, call, &untried, choice, now, is_backed_off))
+        .collect();
+    let first = servers.iter().min_by_key(|u| u.signals.backoff_until())?;
+    let slots = servers.iter().map(|u| f64::from(u.slots.get()));
+    let vms = cx.vms.borrow().len().max(1) as f64;
+    let interval_ms = call.route.latency_target.0 as f64 * vms / slots.sum::<f64>();
+    let longest = Millis(call.time_left(now).0 / 3);
+    let left = first.signals.backoff_until().since(now);
+    let draw = cx.rng.borrow_mut().f64();
+    let mut returns = call.state.backoff_returns.borrow_mut();
+    Some(Refusal {
+        held_back: Some(HeldBack::Backoff(first.id.clone(), left)),
+        is_cut_off: is_cut_off(cx, call, excluded),
+        ..refuse(
+            "all backend servers have asked for a backoff",
+            returns.next(left, longest, interval_ms, draw, now),
+        )
+    })
+}
+
 /// Returns whether this VM may send a request to a cold server now. If so, it counts the send.
 ///
 /// A cold server crashes under more than a few requests a second from all VMs together. Therefore a
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -148,6 +148,8 @@
     pub cold_sends: RefCell<ColdSends>,
     /// When callers refused because of request limits are to retry.
     pub limit_returns: RefCell<ReturnSchedule>,
+    /// When callers refused because of backoffs are to retry.
+    pub backoff_returns: RefCell<ReturnSchedule>,
 }
 
 impl EdgeContext {
@@ -171,6 +173,7 @@
                 reachability: Reachability::default(),
                 cold_sends: RefCell::default(),
                 limit_returns: RefCell::default(),
+                backoff_returns: RefCell::default(),
             })
         });
         Rc::clone(state)
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -7,7 +7,7 @@
 
 use crate::attempt::{self, SendOutcome};
 use crate::call::{self, AdmitError, Call};
-use crate::call_selection::{self, Exclusions, Refusal};
+use crate::call_selection::{self, Exclusions, HeldBack, Refusal};
 use crate::context::EdgeContext;
 use crate::hand_over;
 use crate::identify::IdentifyError;
@@ -47,8 +47,8 @@
     not_delivered: u32,
     /// Number of servers with a request limit for which the request got no permit.
     permits_denied: u32,
-    /// The server whose request limit kept the request from it when it was refused, and that limit.
-    pub(crate) limited_by: Option<(UpstreamName, f64)>,
+    /// What kept the request from a server when it was refused.
+    pub(crate) held_back: Option<HeldBack>,
     /// Whether another VM may have counted the request for the retry budget.
     pub(crate) is_counted_elsewhere: bool,
     /// The latest error response of a server, unless a later send ended without a usable response.
@@ -260,6 +260,7 @@
             history.not_delivered += 1;
             history.cause = cause;
         }
+        SendOutcome::Withheld(cause) => history.cause = cause,
         SendOutcome::NotRun(cause) => {
             history.delivered += 1;
             history.cause = cause;
@@ -348,7 +349,7 @@
     if history.delivered + history.not_delivered == 0 {
         history.cause = refusal.cause;
         history.best_when_refused.clone_from(&refusal.best);
-        history.limited_by.clone_from(&refusal.limited_by);
+        history.held_back.clone_from(&refusal.held_back);
     }
     let cause = history.cause;
     cx.metrics
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -52,8 +52,8 @@
 pub struct BackpressureMetrics {
     /// Times that a backend server asked for a backoff.
     pub backoffs: IntCounterVec,
-    /// Sends to backend servers in a backoff.
-    pub sends: IntCounterVec,
+    /// Requests that were selected for a backend server and withheld before they were sent.
+    pub withheld: IntCounterVec,
     /// Number of backend servers in a backoff.
     pub servers: GaugeVec,
 }
@@ -67,9 +67,9 @@
                 "heatherknot_backoffs_total",
                 "Times that a backend server asked for a backoff, by service",
             )?,
-            sends: counters(
-                "heatherknot_sends_in_backoff_total",
-                "Sends to backend servers that had asked for a backoff, by service",
+            withheld: counters(
+                "heatherknot_withheld_total",
+                "Requests withheld from a backend server that asked for a backoff or is leaving, by service",
             )?,
             servers: register_gauges(
                 registry,
--- a/crates/edge/src/reachability/mod.rs
+++ b/crates/edge/src/reachability/mod.rs
@@ -52,6 +52,7 @@
         SendError::Connect { .. } | SendError::Silent { .. } => true,
         SendError::Broken { reused, .. } => !reused,
         SendError::PoolFull { .. }
+        | SendError::Withheld { .. }
         | SendError::Expired { .. }
         | SendError::BadResponse { .. }
         | SendError::RequestBody { .. } => false,
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -15,6 +15,7 @@
 use crate::accounts::Account;
 use crate::attempt::SendOutcome;
 use crate::call::{AdmitError, Call};
+use crate::call_selection::HeldBack;
 use crate::context::EdgeContext;
 use crate::forward::SendHistory;
 use crate::hand_over::HandOverOutcome;
@@ -54,6 +55,7 @@
         let cause = match outcome {
             SendOutcome::NotRun(cause)
             | SendOutcome::NotSent(cause)
+            | SendOutcome::Withheld(cause)
             | SendOutcome::Unknown(cause)
             | SendOutcome::Broken(cause) => cause,
             SendOutcome::Answer(_)
@@ -108,8 +110,14 @@
             expected_ms = best.response_ms as u64, load = best.load,
             load_age_ms = best.load_age.0; "the best backend server would respond too late");
     }
-    if let Some((upstream, limit)) = &history.limited_by {
-        info!(id, upstream:% = upstream, limit; "request held back by the limit of a backend server");
+    match &history.held_back {
+        Some(HeldBack::Limit(upstream, limit)) => {
+            info!(id, upstream:% = upstream, limit; "request held back by the limit of a backend server");
+        }
+        Some(HeldBack::Backoff(upstream, left)) => {
+            info!(id, upstream:% = upstream, left_ms = left.0; "request held back by the backoff of a backend server");
+        }
+        None => {}
     }
     let account = call
         .account
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -8,6 +8,7 @@
 use heatherknot_types::prelude::*;
 use log::{info, warn};
 
+use crate::backpressure::RunSignals;
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::mirror::Change;
@@ -48,10 +49,21 @@
     missing: BTreeSet<UpstreamName>,
     /// Ended runs of backend servers, oldest first.
     ended_runs: VecDeque<(UpstreamName, Millis)>,
+    /// What removed runs of backend servers have asked for, oldest first. A run may return, if its
+    /// entry was lost while the store was down.
+    removed_runs: VecDeque<(Run, Rc<RunSignals>)>,
     /// Whether each joining server is logged.
     logs_joins: bool,
 }
 
+/// Identifies a run of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Run {
+    id: UpstreamName,
+    started_at: Option<Millis>,
+    version: Option<VersionName>,
+}
+
 impl RoutingState {
     /// Creates an empty state.
     pub fn new(
@@ -73,6 +85,7 @@
             versions: VersionTable::new(Bounds::default().canary_share),
             missing: BTreeSet::new(),
             ended_runs: VecDeque::new(),
+            removed_runs: VecDeque::new(),
             logs_joins: true,
         }
     }
@@ -320,7 +333,10 @@
             changed.extend(self.remove(&reg.id, "it has started again"));
         }
         let region = self.region_of(&reg.domain);
-        let upstream = Rc::new(Upstream::new(reg, region, self.pool.clone(), &self.clock));
+        let signals = self.take_signals_of_removed(reg);
+        let mut upstream = Upstream::new(reg, region, self.pool.clone(), &self.clock);
+        upstream.signals = signals.unwrap_or_default();
+        let upstream = Rc::new(upstream);
         update_upstream(&upstream, reg, now);
         if self.logs_joins {
             let version = reg.version.as_ref().map_or("", VersionName::as_str);
@@ -351,6 +367,15 @@
         info!(upstream:% = id, service:% = upstream.service, why; "backend server is gone");
         upstream.leaving.set(true);
         upstream.pool.close_idle();
+        let run = Run {
+            id: id.clone(),
+            started_at: upstream.started_at,
+            version: upstream.version.clone(),
+        };
+        self.removed_runs
+            .push_back((run, Rc::clone(&upstream.signals)));
+        self.removed_runs
+            .drain(..self.removed_runs.len().saturating_sub(MAX_ENDED_RUNS));
         if let Some(started_at) = upstream.started_at {
             self.ended_runs.push_back((id.clone(), started_at));
             self.ended_runs
@@ -359,6 +384,17 @@
         Some(upstream.service.clone())
     }
 
+    /// Takes what a run that was removed has asked for, if it is the run of this registration.
+    fn take_signals_of_removed(&mut self, reg: &Registration) -> Option<Rc<RunSignals>> {
+        let run = Run {
+            id: reg.id.clone(),
+            started_at: reg.started_at,
+            version: reg.version.clone(),
+        };
+        let at = self.removed_runs.iter().position(|(of, _)| *of == run)?;
+        self.removed_runs.remove(at).map(|(_, signals)| signals)
+    }
+
     fn apply_rollout_order(&mut self, service: &str, change: &Change) -> Option<ServiceName> {
         let service = ServiceName::from(service);
         let Some(value) = &change.current.value else {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -205,6 +205,11 @@
         state.as_ref().is_some_and(|state| state.is_blocked(now))
     }
 
+    /// Returns whether a backoff that the server asked for keeps further requests from it.
+    pub fn is_backed_off(&self, now: Millis) -> bool {
+        self.signals.holds_back(self.in_flight.get(), now)
+    }
+
     /// Returns whether the server may be tried at `now`. After a failure it gets one request at a
     /// time until it responds.
     pub fn is_reachable(&self, now: Millis) -> bool {
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -18,7 +18,9 @@
 use crate::exchange;
 use crate::message::{RequestHead, Response};
 use crate::reader::{HEAD_READ, Reader};
-use crate::send_error::{ConnectSnafu, ExpiredSnafu, PoolFullSnafu, SendError, SendProgress, Step};
+use crate::send_error::{
+    ConnectSnafu, ExpiredSnafu, PoolFullSnafu, SendError, SendProgress, Step, WithheldSnafu,
+};
 use crate::socket::{self, IdleState, LivenessOptions};
 use crate::timeout::with_timeout;
 
@@ -187,8 +189,29 @@
         head: RequestHead,
         body: Body,
         options: SendOptions,
+    ) -> Result<Response, SendError> {
+        self.send_if(head, body, options, || true).await
+    }
+
+    /// Does the same, unless `may_send` returns false once a connection is there. Obtaining one may
+    /// take as long as the connect timeout.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Pool::send`] does, or [`SendError::Withheld`] if `may_send` is false.
+    pub async fn send_if(
+        &self,
+        head: RequestHead,
+        body: Body,
+        options: SendOptions,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<Response, SendError> {
         let connection = self.connection(&options).await?;
+        if !may_send() {
+            connection.put_back();
+            let peer = self.inner.address;
+            return WithheldSnafu { peer }.fail();
+        }
         exchange::run(&self.inner, connection, head, body, options.deadline).await
     }
 
--- a/crates/http/src/send_error.rs
+++ b/crates/http/src/send_error.rs
@@ -51,6 +51,12 @@
         /// The maximum number of connections.
         max: usize,
     },
+    /// The sender withheld the request when a connection was there.
+    #[snafu(display("{peer}: the request was withheld before it was sent"))]
+    Withheld {
+        /// The backend server or peer.
+        peer: SocketAddr,
+    },
     /// No connection could be opened.
     #[snafu(display("{peer}: connecting failed: {source}"))]
     Connect {
@@ -121,7 +127,9 @@
     /// Returns whether a byte of the request's head was passed on for sending.
     pub fn send_progress(&self) -> SendProgress {
         match self {
-            SendError::PoolFull { .. } | SendError::Connect { .. } => SendProgress::NotSent,
+            SendError::PoolFull { .. } | SendError::Withheld { .. } | SendError::Connect { .. } => {
+                SendProgress::NotSent
+            }
             SendError::BadResponse { .. } => SendProgress::MaybeSent,
             SendError::Expired { progress, .. }
             | SendError::Silent { progress, .. }
