Learn from responses that a backend server is leaving

A server that stated in its responses that it was leaving, but whose entry in the store did not tell, got its full share of the requests for as long as it lived. So did one whose entry was lost and came back as ready.

Cause: only entries were read, and what they told ended with the entry.

Now each response of the server itself counts, also a rejection, for the run of the server. A VM that handled a request for another one tells it with the response, since that VM passes the response on as well and may send to the server itself. Other VMs are not told: they learn it from the entry, or from their next response, which the server still gives.

The unit test of a lost entry passes with what a run has told kept by run.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::backpressure;
 use crate::call::Call;
 use crate::context::EdgeContext;
+use crate::hand_over;
 use crate::reachability;
 use crate::reachability::diagnosis::{self, Diagnosis};
 use crate::request_limit;
@@ -217,11 +218,15 @@
     // Only daemons report a request's outcome. A server that could set this header would have
     // requests that it ran not counted against the account's limit.
     response.headers.remove(OUTCOME_HEADER);
+    response.headers.remove(hand_over::LEAVING_HEADER);
     upstream.record_response(cx.now());
     reachability::record_response(cx, &call.state, upstream);
     record_load(cx, call, candidate, &response.headers, sent);
     record_request_limit(cx, candidate, &response, sent);
     backpressure::record_response(cx, upstream, &response);
+    if call.assigned_server.is_some() && backpressure::states_leaving(cx, &response.headers) {
+        hand_over::add_leaving(&mut response.headers, upstream);
+    }
     if let Some(outcome) = detect_refusal(cx, candidate, &response) {
         return outcome;
     }
--- a/crates/edge/src/backpressure.rs
+++ b/crates/edge/src/backpressure.rs
@@ -1,4 +1,5 @@
-//! What a backend server asks of this VM in its responses: to send it nothing for a while.
+//! What a backend server asks of this VM in its responses: to send it nothing for a while, or nothing
+//! any more.
 
 use std::cell::Cell;
 
@@ -27,6 +28,7 @@
     backoff_until: Cell<Millis>,
     /// Number of requests that may be in flight while the load returns after a backoff.
     max_in_flight: Cell<Option<u32>>,
+    is_leaving: Cell<bool>,
 }
 
 impl RunSignals {
@@ -63,6 +65,16 @@
         self.max_in_flight.get() == Some(1) && !self.is_in_backoff(now)
     }
 
+    /// Records that the server is leaving. Returns whether this was not known before.
+    pub fn leave(&self) -> bool {
+        !self.is_leaving.replace(true)
+    }
+
+    /// Returns whether the server is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
     /// Returns whether the server has asked for no requests at `now`.
     pub fn is_in_backoff(&self, now: Millis) -> bool {
         now < self.backoff_until.get()
@@ -95,6 +107,9 @@
     if !is_genuine {
         return;
     }
+    if states_leaving(cx, headers) {
+        record_leaving(upstream, "own response");
+    }
     if !headers.contains_key(&names.not_run) {
         let slots = upstream.slots.get();
         upstream.signals.record_accepted(slots, cx.now());
@@ -107,6 +122,20 @@
     }
 }
 
+/// Returns whether the headers of a response state that its server is leaving.
+pub(crate) fn states_leaving(cx: &EdgeContext, headers: &HeaderMap) -> bool {
+    let value = headers.get(&cx.dialect.headers.leaving);
+    value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
+/// Records that a server is leaving, as learnt from `source`.
+pub(crate) fn record_leaving(upstream: &Upstream, source: &str) {
+    if upstream.signals.leave() {
+        info!(upstream:% = upstream.id, service:% = upstream.service, source,
+            in_flight = upstream.in_flight(); "a response states that a backend server is leaving");
+    }
+}
+
 /// Returns the backoff that a rejection asks for, if any. An invalid one is logged and ignored.
 fn read_backoff(cx: &EdgeContext, upstream: &Upstream, headers: &HeaderMap) -> Option<Millis> {
     let value = headers.get(RETRY_AFTER)?;
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -61,6 +61,8 @@
     pub not_run: HeaderName,
     /// Number of requests running and waiting at the backend server, and its number of slots.
     pub server_load: HeaderName,
+    /// States that the backend server is leaving, by the value `1`.
+    pub leaving: HeaderName,
     /// Number of requests per second that the backend server takes from all VMs together.
     pub request_limit: HeaderName,
     /// The caller's key. It is never forwarded.
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -17,9 +17,10 @@
 use futures_util::future::{Either, select};
 use heatherknot_http::{Request, RequestHead, Response, SendError, SendOptions, SendProgress};
 use heatherknot_types::prelude::*;
-use http::{HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::attempt;
+use crate::backpressure;
 use crate::call::{self, AdmitError, Call};
 use crate::call_selection;
 use crate::context::EdgeContext;
@@ -37,6 +38,9 @@
 pub const HAND_OVER_HEADER: &str = "heatherknot-handed";
 /// Response header by which a home VM declines a request that it has not started.
 const DECLINED_HEADER: &str = "heatherknot-declined";
+/// Response header by which a VM tells the VM that handed the request over that the backend server is
+/// leaving. Its fields, separated by a space, are the server and the start of its run.
+pub(crate) const LEAVING_HEADER: &str = "heatherknot-leaving";
 /// Value of [`DECLINED_HEADER`] if the VM reaches no server that may run the request.
 const UNREACHED: &str = "no backend server can be reached from here";
 /// Last field of [`HAND_OVER_HEADER`] for a relayed request.
@@ -303,16 +307,45 @@
     Some(head)
 }
 
+/// Identifies the run of a server in [`LEAVING_HEADER`].
+fn run_of(upstream: &Upstream) -> String {
+    let started_at = upstream.started_at.map_or(0, |at| at.0);
+    format!("{} {started_at}", upstream.id)
+}
+
+/// Adds to a response that its server is leaving.
+pub(crate) fn add_leaving(headers: &mut HeaderMap, upstream: &Upstream) {
+    if let Ok(value) = HeaderValue::try_from(run_of(upstream)) {
+        headers.insert(HeaderName::from_static(LEAVING_HEADER), value);
+    }
+}
+
+/// Records the server that a response to a handed-over request states to be leaving. This VM has
+/// passed on that response as well, and may have other ways to the server.
+fn record_leaving(cx: &EdgeContext, headers: &mut HeaderMap) {
+    let Some(value) = headers.remove(LEAVING_HEADER) else {
+        return;
+    };
+    let run = value.to_str().unwrap_or_default();
+    let id = run.split(' ').next().unwrap_or_default();
+    let routing_state = cx.routing_state.borrow();
+    let upstream = routing_state.upstream(&id.into());
+    if let Some(upstream) = upstream.filter(|upstream| run_of(upstream) == run) {
+        backpressure::record_leaving(upstream, "another VM");
+    }
+}
+
 /// Turns the home VM's response into an outcome, and records the load and size that it tells.
 async fn process_response(
     cx: &EdgeContext,
     call: &Call,
     peer: &HomePeer,
     to: &Upstream,
-    response: Response,
+    mut response: Response,
     began: Millis,
 ) -> HandOverOutcome {
     peer.record_success();
+    record_leaving(cx, &mut response.headers);
     if let Some(cause) = response.headers.get(DECLINED_HEADER) {
         return match cause == UNREACHED {
             true => HandOverOutcome::Unreached,
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -483,8 +483,11 @@
 
 /// Updates a known backend server from its registration.
 fn update_upstream(upstream: &Upstream, reg: &Registration, now: Millis) {
-    if reg.leaving && !upstream.leaving.replace(true) {
-        info!(upstream:% = upstream.id, service:% = upstream.service; "backend server is leaving");
+    if reg.leaving {
+        upstream.signals.leave();
+        if !upstream.leaving.replace(true) {
+            info!(upstream:% = upstream.id, service:% = upstream.service; "backend server is leaving");
+        }
     }
     upstream.slots.set(reg.slots.max(1));
     if reg.cold_remaining.0 > 0 {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -185,7 +185,7 @@
 
     /// Returns whether the server accepts requests, as far as is known.
     pub fn accepts_requests(&self) -> bool {
-        !self.leaving.get() && !self.replaced.get()
+        !self.leaving.get() && !self.signals.is_leaving() && !self.replaced.get()
     }
 
     /// Returns whether the server counts as cold at `now`.
--- a/crates/edge/tests/backpressure.rs
+++ b/crates/edge/tests/backpressure.rs
@@ -81,3 +81,35 @@
     state.apply(&[put("server/a", entry_of_run(2, "ready", 0), 4)], true);
     assert!(!is_backed_off(&state));
 }
+
+/// Guards against forgetting that a server is leaving when its entry is lost and comes back as ready.
+#[test]
+fn a_leaving_server_stays_so_for_its_run() {
+    let clock = TestClock::default().clock();
+    let mut state = routing_state(&clock);
+    let accepts = |state: &RoutingState, id: &str| {
+        let upstream = state.upstream(&id.into()).expect("it is there");
+        upstream.accepts_requests()
+    };
+    let ready = |run| entry_of_run(run, "ready", 0);
+    state.apply(&[put("server/a", entry_of_run(1, "leaving", 0), 1)], true);
+    state.apply(&[put("server/b", ready(1), 2)], true);
+    let b = Rc::clone(state.upstream(&"b".into()).expect("it is there"));
+    assert!(b.signals.leave());
+
+    state.apply(&[put("server/a", ready(1), 3)], true);
+    assert!(!accepts(&state, "a") && !accepts(&state, "b"));
+
+    state.apply(&[delete("server/a", 4), delete("server/b", 5)], true);
+    state.apply(
+        &[put("server/a", ready(1), 6), put("server/b", ready(1), 7)],
+        true,
+    );
+    assert!(!accepts(&state, "a") && !accepts(&state, "b"));
+
+    state.apply(
+        &[put("server/a", ready(2), 8), put("server/b", ready(2), 9)],
+        true,
+    );
+    assert!(accepts(&state, "a") && accepts(&state, "b"));
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -197,6 +197,7 @@
         signature: name("signature"),
         not_run: name("not-run"),
         server_load: name("load"),
+        leaving: name("leaving"),
         request_limit: name("request-limit"),
         key: name("caller-key"),
         account: name("account"),
