Ignore what another server at the address of a backend server asks for

A 421 comes from a server that has taken over the address, and bears the mark of a request that was not run. Its statement that it is leaving was recorded for the server that the request was meant for, found by reading. Such responses are ignored now.

The tests of the retry budget and the comparison of ways share their bounds and the product's budget, and metrics register in shorter functions.

--- a/crates/edge/examples/retry_budget_ways.rs
+++ b/crates/edge/examples/retry_budget_ways.rs
@@ -13,32 +13,11 @@
 use heatherknot_edge::settings::Bounds;
 use heatherknot_edge::window::SlidingWindow;
 use heatherknot_types::prelude::*;
-use retry_model::{Budget, Event, Query, Scenario, simulate};
+use retry_model::{Budget, Event, Query, Scenario, bounds, product_budget, simulate};
 
 const DEFAULT_SEEDS: u64 = 300;
 const WINDOW: Millis = Millis(10_000);
 
-fn bounds() -> Bounds {
-    Bounds {
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        retry_window: WINDOW,
-        ..Bounds::default()
-    }
-}
-
-/// The way of the product.
-fn product(started: Millis) -> Budget {
-    let mut budget = RetryBudget::new(&bounds(), started);
-    Box::new(move |now, query| match query {
-        Query::Request => {
-            budget.record_request(now);
-            false
-        }
-        Query::Retry(vms) => budget.try_take(now, vms).is_granted(),
-    })
-}
-
 /// Each VM compares its retries of some spans with its requests of the same spans. A new run may use
 /// the part of the budget that corresponds to its age if `by_age` is set.
 fn own_windows(spans: &'static [u64], by_age: bool) -> impl Fn(Millis) -> Budget {
@@ -151,8 +130,8 @@
         Some(Event::ScaledOut),
     ];
     let worst = events.map(|event| {
-        let shares = (1..=seeds)
-            .map(|seed| simulate(&scenario(seed, TWO, event), new_budget).worst_share(&bounds()));
+        let shares =
+            (1..=seeds).map(|seed| simulate(&scenario(seed, TWO, event), new_budget).worst_share());
         let shares: Vec<f64> = shares.collect();
         let over = shares.iter().filter(|share| **share > 1.0).count();
         format!("{:.2} ({over})", shares.iter().copied().fold(0.0, f64::max))
@@ -184,7 +163,7 @@
         "{seeds} seeds. Worst use (seeds over): none, all killed, rolled, all moved, a third moved, frozen, scaled out | \
          granted in failures of 0.5, 1.5, 6 and 20 s, and of 1.5 s after a start"
     );
-    print_way("product", seeds, &product);
+    print_way("product", seeds, &product_budget);
     print_way("fixed part by time", seeds, &fixed_by_time);
     print_way("own window", seeds, &own_windows(&[10_000], false));
     print_way("own window, by age", seeds, &own_windows(&[10_000], true));
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -223,8 +223,8 @@
     reachability::record_response(cx, &call.state, upstream);
     record_load(cx, call, candidate, &response.headers, sent);
     record_request_limit(cx, candidate, &response, sent);
-    backpressure::record_response(cx, upstream, &response);
-    if call.assigned_server.is_some() && backpressure::states_leaving(cx, &response.headers) {
+    let is_leaving = backpressure::record_response(cx, upstream, &response);
+    if is_leaving && call.assigned_server.is_some() {
         hand_over::add_leaving(&mut response.headers, upstream);
     }
     if let Some(outcome) = detect_refusal(cx, candidate, &response) {
--- a/crates/edge/src/backpressure.rs
+++ b/crates/edge/src/backpressure.rs
@@ -98,34 +98,35 @@
     ))
 }
 
-/// Records what a response asks for. Only the server's own response counts: another server or an
-/// intermediary may have responded in its place.
-pub(crate) fn record_response(cx: &EdgeContext, upstream: &Upstream, response: &Response) {
-    let names = &cx.dialect.headers;
+/// Records what a response asks for. Returns whether it states that the server is leaving.
+pub(crate) fn record_response(cx: &EdgeContext, upstream: &Upstream, response: &Response) -> bool {
     let headers = &response.headers;
-    let is_genuine = headers.contains_key(&names.signature) || headers.contains_key(&names.not_run);
-    if !is_genuine {
-        return;
-    }
-    if states_leaving(cx, headers) {
-        record_leaving(upstream, "own response");
+    if !is_own_response(cx, response) {
+        return false;
     }
-    if !headers.contains_key(&names.not_run) {
+    if !headers.contains_key(&cx.dialect.headers.not_run) {
         let slots = upstream.slots.get();
         upstream.signals.record_accepted(slots, cx.now());
     }
-    if response.status != StatusCode::SERVICE_UNAVAILABLE {
-        return;
-    }
-    if let Some(asked) = read_backoff(cx, upstream, headers).filter(|asked| asked.0 > 0) {
+    if response.status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(asked) = read_backoff(cx, upstream, headers).filter(|asked| asked.0 > 0)
+    {
         record_backoff(cx, upstream, asked);
     }
+    let leaving = headers.get(&cx.dialect.headers.leaving);
+    let is_leaving = leaving.is_some_and(|value| value.as_bytes().trim_ascii() == b"1");
+    if is_leaving {
+        record_leaving(upstream, "own response");
+    }
+    is_leaving
 }
 
-/// Returns whether the headers of a response state that its server is leaving.
-pub(crate) fn states_leaving(cx: &EdgeContext, headers: &HeaderMap) -> bool {
-    let value = headers.get(&cx.dialect.headers.leaving);
-    value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+/// Returns whether a response certainly comes from the server that the request was sent to. Another
+/// server at its address, or an intermediary, may have responded in its place.
+fn is_own_response(cx: &EdgeContext, response: &Response) -> bool {
+    let (names, headers) = (&cx.dialect.headers, &response.headers);
+    let is_marked = headers.contains_key(&names.signature) || headers.contains_key(&names.not_run);
+    is_marked && response.status != StatusCode::MISDIRECTED_REQUEST
 }
 
 /// Records that a server is leaving, as learnt from `source`.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -146,11 +146,7 @@
                 "Sends to backend servers by service and result",
                 &["service", "result"],
             )?,
-            retries: counters(
-                "heatherknot_retries_total",
-                "Retries by service, and by the part of the budget that paid or as denied",
-                &["service", "grant"],
-            )?,
+            retries: register_retries(registry)?,
             backpressure: BackpressureMetrics::register(registry)?,
             limits: LimitMetrics::register(registry)?,
             requests_at_server_crash: counters(
@@ -158,16 +154,8 @@
                 "Requests that a backend server had when it ended, by service",
                 &["service"],
             )?,
-            servers_reached: register_gauges(
-                registry,
-                "heatherknot_servers_reached",
-                "Backend servers that this VM reaches, by service",
-            )?,
-            handed_over: counters(
-                "heatherknot_handed_total",
-                "Requests handed to the homes of their servers, by result",
-                &["result"],
-            )?,
+            servers_reached: register_servers_reached(registry)?,
+            handed_over: register_handed_over(registry)?,
             relayed: counters(
                 "heatherknot_relayed_total",
                 "Requests relayed to VMs that reach their servers, by reason and result",
@@ -207,6 +195,32 @@
     Ok(counters)
 }
 
+fn register_retries(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    register_counters(
+        registry,
+        "heatherknot_retries_total",
+        "Retries by service, and by the part of the budget that paid or as denied",
+        &["service", "grant"],
+    )
+}
+
+fn register_handed_over(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    register_counters(
+        registry,
+        "heatherknot_handed_total",
+        "Requests handed to the homes of their servers, by result",
+        &["result"],
+    )
+}
+
+fn register_servers_reached(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
+    register_gauges(
+        registry,
+        "heatherknot_servers_reached",
+        "Backend servers that this VM reaches, by service",
+    )
+}
+
 fn register_store_calls(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
     register_counters(
         registry,
--- a/crates/edge/tests/retry_budget.rs
+++ b/crates/edge/tests/retry_budget.rs
@@ -6,34 +6,11 @@
 #[path = "support/retry_model.rs"]
 mod retry_model;
 
-use heatherknot_edge::budget::RetryBudget;
-use heatherknot_edge::settings::Bounds;
-use heatherknot_types::prelude::*;
-use retry_model::{Budget, Event, Outcome, Query, Scenario, simulate};
+use retry_model::{Event, Outcome, Scenario, product_budget, simulate};
 
 /// Default number of seeds of each scenario.
 const SEEDS: u64 = 40;
 
-fn bounds() -> Bounds {
-    Bounds {
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        retry_window: Millis(10_000),
-        ..Bounds::default()
-    }
-}
-
-fn budget(started: Millis) -> Budget {
-    let mut budget = RetryBudget::new(&bounds(), started);
-    Box::new(move |now, query| match query {
-        Query::Request => {
-            budget.record_request(now);
-            false
-        }
-        Query::Retry(vms) => budget.try_take(now, vms).is_granted(),
-    })
-}
-
 fn seeds() -> std::ops::Range<u64> {
     let number = |name| {
         let text = std::env::var(name).ok()?;
@@ -90,11 +67,11 @@
 }
 
 fn assert_within_budget(name: &str, scenario: impl Fn(u64) -> Scenario) {
-    let play = |seed| (seed, simulate(&scenario(seed), &budget));
+    let play = |seed| (seed, simulate(&scenario(seed), &product_budget));
     let outcomes: Vec<(u64, Outcome)> = seeds().map(play).collect();
     let exceeded: Vec<(u64, f64)> = outcomes
         .iter()
-        .map(|(seed, outcome)| (*seed, outcome.worst_share(&bounds())))
+        .map(|(seed, outcome)| (*seed, outcome.worst_share()))
         .filter(|(_, share)| *share > 1.0)
         .collect();
     assert!(
@@ -117,7 +94,7 @@
             failures: vec![(15_000, 16_500, 0.5)],
             ..two_failures(seed, None)
         };
-        simulate(&scenario, &budget)
+        simulate(&scenario, &product_budget)
     });
     let (granted, denied) = outcomes.fold((0, 0), |(granted, denied), outcome| {
         (granted + outcome.granted(), denied + outcome.denied)
--- a/crates/edge/tests/support/retry_model.rs
+++ b/crates/edge/tests/support/retry_model.rs
@@ -5,6 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use heatherknot_edge::budget::RetryBudget;
 use heatherknot_edge::settings::Bounds;
 use heatherknot_types::prelude::*;
 
@@ -31,6 +32,28 @@
 /// One VM's part of a retry budget; answers whether a retry is granted.
 pub type Budget = Box<dyn FnMut(Millis, Query) -> bool>;
 
+/// Bounds of the simulated deployment.
+pub fn bounds() -> Bounds {
+    Bounds {
+        retry_ratio: 0.2,
+        retry_slack: 60.0,
+        retry_window: Millis(10_000),
+        ..Bounds::default()
+    }
+}
+
+/// Creates a VM's part of the product's budget.
+pub fn product_budget(started: Millis) -> Budget {
+    let mut budget = RetryBudget::new(&bounds(), started);
+    Box::new(move |now, query| match query {
+        Query::Request => {
+            budget.record_request(now);
+            false
+        }
+        Query::Retry(vms) => budget.try_take(now, vms).is_granted(),
+    })
+}
+
 /// A disturbance of the VMs or of where callers send.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
@@ -71,7 +94,8 @@
 
 impl Outcome {
     /// Returns the highest number of retries in a window as a share of those allowed then.
-    pub fn worst_share(&self, bounds: &Bounds) -> f64 {
+    pub fn worst_share(&self) -> f64 {
+        let bounds = bounds();
         let window = bounds.retry_window.0;
         let count = |times: &[u64], from: u64, to: u64| {
             times.partition_point(|at| *at <= to) - times.partition_point(|at| *at < from)
