--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -324,7 +324,11 @@
     }
 
     async fn fetch_all(&self) -> Result<(), StoreError> {
+        let began = self.timer.now();
         let found = self.store.range(RangeRequest::prefix("")).await?;
+        let took = self.timer.now().since(began);
+        info!(held:% = self.mirror.borrow().revision(), at:% = found.revision, keys = found.kvs.len(), took_ms = took.0;
+            "all keys read from the store");
         let listed = found.kvs.into_iter().map(Change::from).collect();
         self.record_store_answer();
         self.apply_snapshot(listed, found.revision, self.is_settled());
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -10,7 +10,7 @@
 };
 use heatherknot_types::prelude::*;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 
 use crate::error::{Cause, Effect, Step, StoreError};
 
@@ -49,6 +49,8 @@
 pub struct FullResponse {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -108,7 +110,9 @@
             false => &self.writes,
         };
         let resp = self.send(pool, &call, deadline).await?;
-        let status = resp.status;
+        let Response {
+            status, headers, ..
+        } = resp;
         let remaining = Duration::from_millis(deadline.since(self.clock.now()).0);
         let body =
             match monoio::time::timeout(remaining, resp.body.collect(MAX_RESPONSE_BYTES)).await {
@@ -116,7 +120,11 @@
                 Err(_) => Err(timeout_cause(call.limit)),
             };
         let body = body.map_err(|source| self.error(call.step, Effect::MayBeApplied, source))?;
-        Ok(FullResponse { status, body })
+        Ok(FullResponse {
+            status,
+            headers,
+            body,
+        })
     }
 
     /// Sends a request and reads the head of the response.
--- a/crates/store/src/http_store/mod.rs
+++ b/crates/store/src/http_store/mod.rs
@@ -147,9 +147,12 @@
             let mut streaming = self.client.open_stream(call).await?;
             if !streaming.status.is_success() {
                 let body = streaming.next_chunk().await.and_then(Result::ok);
-                let status = streaming.status;
-                let body = body.unwrap_or_default();
-                return Err(self.error_from_response(Step::Watch, &FullResponse { status, body }));
+                let resp = FullResponse {
+                    status: streaming.status,
+                    headers: http::HeaderMap::new(),
+                    body: body.unwrap_or_default(),
+                };
+                return Err(self.error_from_response(Step::Watch, &resp));
             }
             WatchReader::open(self, streaming).await
         })
