--- a/crates/daemon/src/capacity_task.rs
+++ b/crates/daemon/src/capacity_task.rs
@@ -174,14 +174,14 @@
         log::info!(part = part; "this VM's part of its failure domain's capacity");
     }
     let seen = keeper.newest_ledger();
-    if seen.revision.0 > cx.members_version.get() {
-        cx.members_version.set(seen.revision.0);
+    if seen.revision.number > cx.members_version.get() {
+        cx.members_version.set(seen.revision.number);
         let list = seen.ledger.entries.iter().map(|entry| Member {
             vm: entry.vm.clone(),
             incarnation: entry.incarnation,
         });
         cx.gateway.on_members(Members {
-            version: seen.revision.0,
+            version: seen.revision.number,
             list: list.collect(),
         });
     }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -480,6 +480,7 @@
 async fn tick(cx: Rc<EdgeContext>) {
     for round in 1_u64.. {
         cx.timer.wait(TICK_INTERVAL).await;
+        cx.feed.accept_unconfirmed();
         if cx.feed.is_settled() {
             cx.routing_state.borrow_mut().remove_missing();
         }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -11,14 +11,14 @@
 use futures_util::StreamExt;
 use heatherknot_http::Flag;
 use heatherknot_store::backoff::Backoff;
-use heatherknot_store::error::{Cause, StoreError};
+use heatherknot_store::error::{Cause, Effect, Step, StoreError};
 use heatherknot_store::port::{
     Event, RangeRequest, Store, StoreRevision, WatchMessage, WatchRequest, WatchStream,
 };
 use heatherknot_types::prelude::*;
 use log::{info, warn};
 
-use crate::mirror::{Change, Mirror, VersionedValue};
+use crate::mirror::{Change, Mirror, UnconfirmedKeys, VersionedValue};
 use crate::routing_state::RoutingState;
 
 /// Interval at which a VM checks whether it should watch the store.
@@ -62,6 +62,8 @@
     /// Whether this VM's own last store call failed. Updates may still arrive from peers.
     store_unreachable: Cell<bool>,
     settled_at: Cell<Millis>,
+    /// Until when the writers of keys that the store has lost may write them again.
+    confirm_until: Cell<Millis>,
     /// When this process started.
     started_at: Millis,
     /// When this VM reads all keys itself if it has received no update by then.
@@ -90,17 +92,22 @@
         settle_time: Millis,
     ) -> Rc<Self> {
         let started_at = timer.now();
+        let values = Rc::clone(&routing_state);
+        let mirror = Mirror::new(Rc::new(move |key, held, value| {
+            values.borrow().is_outdated(key, held, value)
+        }));
         Rc::new(Self {
             started_at,
             await_peers_until: Cell::new(started_at + PEER_WAIT_AT_START),
             store,
             timer,
-            mirror: RefCell::default(),
+            mirror: RefCell::new(mirror),
             routing_state,
             settle_time,
             last_update_at: Cell::new(None),
             store_unreachable: Cell::new(false),
             settled_at: Cell::new(Millis(0)),
+            confirm_until: Cell::new(Millis(0)),
             is_watcher: RefCell::default(),
             retry_interval: RefCell::default(),
             back_off_until: Cell::new(Millis(0)),
@@ -224,9 +231,14 @@
             ..RangeRequest::prefix(prefix)
         };
         let found = self.store.range(req).await?;
+        let held = self.mirror.borrow().revision();
+        if held != StoreRevision::ZERO && found.revision.era != held.era {
+            info!(prefix, held:% = held, at:% = found.revision; "ignored keys of another era of the store");
+            return Ok(());
+        }
         let listed = found.kvs.into_iter().map(Change::from).collect();
         // Revision 0, because this read says nothing about other keys or about deletions.
-        self.apply_changes(listed, StoreRevision(0), false);
+        self.apply_changes(listed, StoreRevision::ZERO, false);
         Ok(())
     }
 
@@ -248,17 +260,26 @@
         let first = std::time::Duration::from_millis(50);
         let backoff = Backoff::new(first, MAX_BACKOFF, fastrand::Rng::new());
         let mut failures = 0;
-        let mut compacted = false;
+        let mut must_read_all = false;
         loop {
             if !self.should_watch_store() {
                 self.timer.wait(self.idle_interval()).await;
                 continue;
             }
-            match self.watch_while_needed(&mut compacted, &mut failures).await {
+            match self
+                .watch_while_needed(&mut must_read_all, &mut failures)
+                .await
+            {
                 Ok(()) => continue,
                 Err(error) => {
                     failures += 1;
-                    compacted |= matches!(error.source, Cause::Compacted { .. });
+                    let is_new_era = matches!(error.source, Cause::EraChanged { .. });
+                    must_read_all |= is_new_era || matches!(error.source, Cause::Compacted { .. });
+                    if is_new_era {
+                        info!(step:% = error.step, cause:% = error.source; "all keys have to be read from the store");
+                        backoff.pause(failures).await;
+                        continue;
+                    }
                     self.record_store_failure(&error);
                     if !self.is_watcher() {
                         self.back_off_from_store();
@@ -270,15 +291,15 @@
     }
 
     /// Watches the store until this VM no longer needs to. Reads all keys first if the copy is
-    /// empty or the store has `compacted` the revisions after it.
+    /// empty or the store no longer has the revisions after it.
     async fn watch_while_needed(
         &self,
-        compacted: &mut bool,
+        must_read_all: &mut bool,
         failures: &mut u32,
     ) -> Result<(), StoreError> {
-        if *compacted || self.mirror.borrow().revision() == StoreRevision(0) {
+        if *must_read_all || self.mirror.borrow().revision() == StoreRevision::ZERO {
             self.fetch_all().await?;
-            *compacted = false;
+            *must_read_all = false;
         }
         let mut watch = self.watch().await?;
         while self.should_watch_store() {
@@ -318,7 +339,7 @@
         let req = WatchRequest {
             key: String::new(),
             end: Some(heatherknot_store::port::prefix_end("")),
-            start: StoreRevision(at.0 + 1),
+            start: at.next(),
         };
         (self.store.watch)(req).await
     }
@@ -327,8 +348,20 @@
         let began = self.timer.now();
         let found = self.store.range(RangeRequest::prefix("")).await?;
         let took = self.timer.now().since(began);
-        info!(held:% = self.mirror.borrow().revision(), at:% = found.revision, keys = found.kvs.len(), took_ms = took.0;
+        let held = self.mirror.borrow().revision();
+        info!(held:% = held, at:% = found.revision, keys = found.kvs.len(), took_ms = took.0;
             "all keys read from the store");
+        if found.revision.era < held.era {
+            return Err(StoreError {
+                step: Step::Range,
+                peer: self.store.peer,
+                effect: Effect::NotApplied,
+                source: Cause::EraChanged {
+                    expected: held.era,
+                    found: found.revision.era,
+                },
+            });
+        }
         let listed = found.kvs.into_iter().map(Change::from).collect();
         self.record_store_answer();
         self.apply_snapshot(listed, found.revision, self.is_settled());
@@ -343,6 +376,7 @@
 
     /// Applies changes up to revision `at`.
     pub fn apply_changes(&self, changes: Vec<Change>, at: StoreRevision, settled: bool) {
+        self.record_era(at);
         let mut mirror = self.mirror.borrow_mut();
         let changes: Vec<Change> = changes.into_iter().filter(|c| mirror.apply(c)).collect();
         mirror.advance(at);
@@ -352,10 +386,48 @@
 
     /// Applies a complete list of keys read at revision `at`.
     pub fn apply_snapshot(&self, listed: Vec<Change>, at: StoreRevision, settled: bool) {
+        self.record_era(at);
         let changes = self.mirror.borrow_mut().apply_snapshot(listed, at);
         self.publish_changes(&changes, settled);
     }
 
+    /// Waits for lost keys to be written again, if `at` is the first revision here of a new era.
+    fn record_era(&self, at: StoreRevision) {
+        let mirror = self.mirror.borrow();
+        if mirror.is_new_era(at) {
+            info!(held:% = mirror.revision(), at:% = at, wait_ms = self.settle_time.0;
+                "the local copy enters a new era of the store; waiting for lost keys to be written again");
+            self.confirm_until.set(self.timer.now() + self.settle_time);
+        }
+    }
+
+    /// Returns whether keys that the store has lost may still be written again.
+    pub fn is_confirming(&self) -> bool {
+        self.timer.now() < self.confirm_until.get()
+    }
+
+    /// Ends the wait for lost keys, because a peer has ended it.
+    pub fn stop_confirming(&self) {
+        self.confirm_until.set(Millis(0));
+        self.accept_unconfirmed();
+    }
+
+    /// Takes over that the store has lost keys which were not written again in time.
+    pub fn accept_unconfirmed(&self) {
+        if self.is_confirming() || !self.is_fresh() || self.mirror.borrow().unconfirmed().is_empty()
+        {
+            return;
+        }
+        let changes = self.mirror.borrow_mut().accept_unconfirmed();
+        info!(keys = changes.len(), first = changes[0].key.as_str(); "keys that the store has lost were not written again");
+        self.publish_changes(&changes, true);
+    }
+
+    /// Adds the keys that a peer waits for.
+    pub fn extend_unconfirmed(&self, keys: UnconfirmedKeys) {
+        self.mirror.borrow_mut().extend_unconfirmed(keys);
+    }
+
     fn publish_changes(&self, changes: &[Change], settled: bool) {
         let relevant: Vec<&Change> = {
             let routing_state = self.routing_state.borrow();
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -2,8 +2,14 @@
 //!
 //! For each key the higher revision wins, whether it comes from the store or a peer, so late or
 //! repeated updates have no effect and no key ever reverts to an older value.
+//!
+//! When the store loses its latest changes, it comes back in a new era with an earlier state, in which
+//! keys are missing, deleted keys are back and values are outdated. Their writers write them again
+//! within seconds. Until then the copy keeps what it knows of missing and deleted keys.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use heatherknot_store::port::{KeyValue, StoreRevision};
@@ -30,8 +36,30 @@
     /// Revision of the last change that peers need. An update by which a backend server only
     /// confirms that it is alive is not such a change.
     relevant_revision: StoreRevision,
+    /// If the key was deleted, the revision of the value that it had.
+    deleted_revision: Option<StoreRevision>,
+}
+
+/// Keys whose state in the store is earlier than here, after the store has lost its latest changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnconfirmedKeys {
+    /// Keys that exist here and are missing in the store.
+    pub missing: BTreeSet<String>,
+    /// Keys that were deleted here and are back in the store, with their state there.
+    pub returned: BTreeMap<String, VersionedValue>,
+}
+
+impl UnconfirmedKeys {
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.missing.is_empty() && self.returned.is_empty()
+    }
 }
 
+/// Returns whether the second value of a key is from an earlier time than the first one, by what the
+/// values say themselves.
+pub type IsOutdated = Rc<dyn Fn(&str, &Bytes, &Bytes) -> bool>;
+
 /// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -42,8 +70,8 @@
 }
 
 /// The local copy of the store's keys.
-#[derive(Debug, Default)]
 pub struct Mirror {
+    is_outdated: IsOutdated,
     keys: BTreeMap<String, Entry>,
     /// All changes up to this revision are applied.
     revision: StoreRevision,
@@ -55,9 +83,41 @@
     gaps: Vec<(StoreRevision, StoreRevision)>,
     /// Number of applied changes.
     generation: u64,
+    unconfirmed: UnconfirmedKeys,
+    /// Keys whose value in the store is from an earlier time than the one here.
+    outdated_in_store: BTreeSet<String>,
+}
+
+impl Default for Mirror {
+    fn default() -> Self {
+        Self::new(Rc::new(|_, _, _| false))
+    }
+}
+
+impl fmt::Debug for Mirror {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Mirror")
+            .field("keys", &self.keys.len())
+            .field("revision", &self.revision)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Mirror {
+    /// Creates an empty copy. `is_outdated` decides between values of different eras.
+    pub fn new(is_outdated: IsOutdated) -> Self {
+        Self {
+            is_outdated,
+            keys: BTreeMap::new(),
+            revision: StoreRevision::ZERO,
+            pruned_at: StoreRevision::ZERO,
+            gaps: Vec::new(),
+            generation: 0,
+            unconfirmed: UnconfirmedKeys::default(),
+            outdated_in_store: BTreeSet::new(),
+        }
+    }
+
     /// Returns the revision up to which all changes are applied.
     pub fn revision(&self) -> StoreRevision {
         self.revision
@@ -96,18 +156,54 @@
             None if change.current.value.is_none() && change.current.revision <= self.pruned_at => {
                 false
             }
-            _ => {
-                self.insert(change);
-                true
+            _ => self.replace(change),
+        }
+    }
+
+    /// Replaces the state of a key unless it is the same, or outdated. Returns whether it was
+    /// replaced.
+    fn replace(&mut self, change: &Change) -> bool {
+        let Some(entry) = self.keys.get_mut(&change.key) else {
+            self.insert(change);
+            return true;
+        };
+        let revision = change.current.revision;
+        let held_revision = entry.current.revision;
+        let may_be_earlier = held_revision.era != revision.era || revision < held_revision;
+        if let (true, Some(held), Some(value)) =
+            (may_be_earlier, &entry.current.value, &change.current.value)
+        {
+            let is_same = held == value && !self.unconfirmed.missing.contains(&change.key);
+            let is_outdated = held != value && (self.is_outdated)(&change.key, held, value);
+            if is_outdated {
+                self.outdated_in_store.insert(change.key.clone());
+                self.unconfirmed.missing.remove(&change.key);
+            }
+            if is_same || is_outdated {
+                entry.current.revision = revision;
+                return false;
             }
         }
+        self.insert(change);
+        true
     }
 
     fn insert(&mut self, change: &Change) {
         self.generation += 1;
         let current = change.current.clone();
+        let is_confirmed = self.unconfirmed.missing.remove(&change.key);
+        self.unconfirmed.returned.remove(&change.key);
+        self.outdated_in_store.remove(&change.key);
         match self.keys.get_mut(&change.key) {
-            Some(entry) => entry.current = current,
+            Some(entry) => {
+                let before = std::mem::replace(&mut entry.current, current);
+                if before.value.is_some() || entry.current.value.is_some() {
+                    entry.deleted_revision = before.value.map(|_| before.revision);
+                }
+                if is_confirmed {
+                    entry.relevant_revision = entry.current.revision;
+                }
+            }
             None => {
                 let relevant_revision = current.revision;
                 self.keys.insert(
@@ -115,6 +211,7 @@
                     Entry {
                         current,
                         relevant_revision,
+                        deleted_revision: None,
                     },
                 );
             }
@@ -130,51 +227,136 @@
 
     /// Records that all changes up to `at` are applied.
     pub fn advance(&mut self, at: StoreRevision) {
+        if self.is_new_era(at) {
+            // A peer may have seen changes of the earlier era that were lost and never came here.
+            self.record_gap(at);
+        }
+        self.set_revision(at);
+    }
+
+    fn set_revision(&mut self, at: StoreRevision) {
         self.revision = self.revision.max(at);
         self.prune_tombstones();
     }
 
+    /// Returns whether `at` belongs to a later era than this copy, which is not empty.
+    pub fn is_new_era(&self, at: StoreRevision) -> bool {
+        self.revision != StoreRevision::ZERO && at.era > self.revision.era
+    }
+
     /// Applies a full list whose reading began at revision `at`; returns the resulting changes.
     ///
     /// A key that is missing from the list and was last changed at or before `at` counts as
-    /// deleted.
+    /// deleted. One that was last changed in an earlier era is unconfirmed instead.
     pub fn apply_snapshot(&mut self, listed: Vec<Change>, at: StoreRevision) -> Vec<Change> {
         let present: std::collections::HashSet<&str> =
             listed.iter().map(|change| change.key.as_str()).collect();
-        let removed: Vec<Change> = self
-            .keys
+        let is_missing = |(key, entry): &(&String, &Entry)| {
+            let current = &entry.current;
+            current.value.is_some() && current.revision <= at && !present.contains(key.as_str())
+        };
+        let missing = self.keys.iter().filter(is_missing);
+        let (unconfirmed, removed): (Vec<_>, Vec<_>) =
+            missing.partition(|(_, entry)| entry.current.revision.era < at.era);
+        let unconfirmed: Vec<String> = unconfirmed.iter().map(|(key, _)| (*key).clone()).collect();
+        let mut changed: Vec<Change> = removed
             .iter()
-            .filter(|(key, entry)| {
-                let current = &entry.current;
-                current.value.is_some() && current.revision <= at && !present.contains(key.as_str())
-            })
-            .map(|(key, _)| Change {
-                key: key.clone(),
-                current: VersionedValue {
-                    revision: at,
-                    value: None,
-                },
-            })
+            .map(|(key, _)| deletion((*key).clone(), at))
             .collect();
-        let mut changed = Vec::new();
-        for change in removed {
-            self.insert(&change);
-            changed.push(change);
-        }
+        self.unconfirmed.missing.extend(unconfirmed);
+        changed.iter().for_each(|change| self.insert(change));
+        let is_new_era = self.is_new_era(at);
         for change in listed {
-            if self.apply(&change) {
+            let is_changed = match is_new_era {
+                true => self.apply_listed(&change, at),
+                false => self.apply(&change),
+            };
+            if is_changed {
                 changed.push(change);
             }
         }
         self.record_gap(at);
-        self.advance(at);
+        self.set_revision(at);
         changed
     }
 
+    /// Applies a key of the first complete list of an era; returns whether it was newer.
+    fn apply_listed(&mut self, change: &Change, at: StoreRevision) -> bool {
+        let Some(entry) = self.keys.get_mut(&change.key) else {
+            return self.apply(change);
+        };
+        let revision = change.current.revision;
+        // The same number: not a new value, but the one from before the deletion.
+        let has_returned = entry.current.value.is_none()
+            && entry.deleted_revision.is_some_and(|deleted| {
+                deleted.era < revision.era && deleted.number == revision.number
+            });
+        if has_returned {
+            entry.current.revision = revision;
+            let returned = &mut self.unconfirmed.returned;
+            returned.insert(change.key.clone(), change.current.clone());
+            return false;
+        }
+        // A peer's list has revisions of the earlier era. What came after them was lost.
+        let is_lost = revision < entry.current.revision && entry.current.revision.era < at.era;
+        if is_lost && entry.current.value != change.current.value {
+            return self.replace(change);
+        }
+        self.apply(change)
+    }
+
+    /// Returns the keys whose state in the store is earlier than here.
+    pub fn unconfirmed(&self) -> &UnconfirmedKeys {
+        &self.unconfirmed
+    }
+
+    /// Adds the keys that are unconfirmed at a peer from which this copy was updated.
+    pub fn extend_unconfirmed(&mut self, keys: UnconfirmedKeys) {
+        let era = self.revision.era;
+        let is_earlier = |key: &String| {
+            let entry = self.keys.get(key);
+            entry.is_none_or(|entry| entry.current.revision.era < era)
+        };
+        let missing = keys.missing.into_iter();
+        let missing: Vec<String> = missing
+            .filter(|key| self.get(key).is_some() && is_earlier(key))
+            .collect();
+        let returned = keys.returned.into_iter();
+        let returned: Vec<_> = returned.filter(|(key, _)| is_earlier(key)).collect();
+        self.unconfirmed.missing.extend(missing);
+        self.unconfirmed.returned.extend(returned);
+    }
+
+    /// Takes the store's state of all unconfirmed keys; returns the resulting changes.
+    pub fn accept_unconfirmed(&mut self) -> Vec<Change> {
+        let keys = std::mem::take(&mut self.unconfirmed);
+        let at = self.revision;
+        let deleted = keys.missing.into_iter().map(|key| deletion(key, at));
+        let returned = keys.returned.into_iter();
+        let returned = returned.map(|(key, current)| Change { key, current });
+        let changes: Vec<Change> = deleted.chain(returned).collect();
+        changes.iter().for_each(|change| self.insert(change));
+        changes
+    }
+
+    /// Returns the keys that begin with `prefix` and are missing or outdated in the store, each with
+    /// its value here and its revision there; zero if it is missing.
+    pub fn lost_in_store(&self, prefix: &str) -> Vec<(String, Bytes, StoreRevision)> {
+        let missing = self.unconfirmed.missing.iter();
+        let missing = missing.map(|key| (key, StoreRevision::ZERO));
+        let outdated = self.outdated_in_store.iter();
+        let outdated = outdated.filter_map(|key| Some((key, self.revision_of(key)?)));
+        let lost = missing
+            .chain(outdated)
+            .filter(|(key, _)| key.starts_with(prefix));
+        lost.filter_map(|(key, at)| Some((key.clone(), self.get(key)?.clone(), at)))
+            .collect()
+    }
+
     /// Records that a full list was read at `at`. A peer whose revision is not past the local
     /// revision before the list misses no deletion and need not be sent a full copy.
     fn record_gap(&mut self, at: StoreRevision) {
-        if self.revision == StoreRevision(0) || self.gaps.len() == MAX_GAPS {
+        if self.revision == StoreRevision::ZERO || self.gaps.len() == MAX_GAPS {
             self.pruned_at = self.pruned_at.max(at);
             self.gaps.clear();
         } else if at > self.revision {
@@ -215,6 +397,16 @@
     }
 }
 
+fn deletion(key: String, revision: StoreRevision) -> Change {
+    Change {
+        key,
+        current: VersionedValue {
+            revision,
+            value: None,
+        },
+    }
+}
+
 fn to_change((key, entry): (&String, &Entry)) -> Change {
     Change {
         key: key.clone(),
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -1,7 +1,7 @@
 //! Requests changes of the store's keys from peers, and answers such requests.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -9,19 +9,21 @@
 use futures_util::future::select;
 use heatherknot_peer::options::CallOptions;
 use heatherknot_peer::{MethodTable, PeerError};
-use heatherknot_store::port::StoreRevision;
+use heatherknot_store::port::{StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
 use log::{debug, warn};
 use serde::{Deserialize, Serialize};
 
 use crate::context::EdgeContext;
 use crate::feed::Feed;
-use crate::mirror::{Change, Mirror, VersionedValue};
+use crate::mirror::{Change, Mirror, UnconfirmedKeys, VersionedValue};
 use crate::packed;
 use crate::presence;
 
 /// RPC method that returns the changes after a revision.
-const CHANGES_METHOD: &str = "e.changed";
+const CHANGES_METHOD: &str = "e.changes";
+/// The same for daemons that know revisions by their numbers only.
+const CHANGES_BY_NUMBER_METHOD: &str = "e.changed";
 /// Number of keys from which a message is compressed. Below it, compression saves less than a
 /// kilobyte.
 const COMPRESS_FROM_KEYS: usize = 32;
@@ -56,6 +58,9 @@
     key: String,
     #[serde(rename = "r")]
     revision: u64,
+    /// Era of the revision, unless it is that of the message.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    era: Option<StoreEra>,
     /// `None` if the key was deleted.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     value: Option<String>,
@@ -67,6 +72,8 @@
 struct Changes {
     #[serde(rename = "a")]
     revision: u64,
+    #[serde(rename = "e", default)]
+    era: StoreEra,
     #[serde(rename = "w")]
     is_snapshot: bool,
     /// Age of the newest update from the store, if there was any.
@@ -80,6 +87,21 @@
     /// The keys in compressed form, if there are many.
     #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
     packed: Option<String>,
+    /// Whether keys that the store has lost may still be written again.
+    #[serde(rename = "l", default)]
+    is_confirming: bool,
+    /// Keys that exist and are missing in the store, if the receiver enters this era.
+    #[serde(rename = "lm", default, skip_serializing_if = "BTreeSet::is_empty")]
+    missing: BTreeSet<String>,
+    /// Deleted keys that are back in the store, likewise.
+    #[serde(rename = "lr", default, skip_serializing_if = "Vec::is_empty")]
+    returned: Vec<WireKey>,
+}
+
+impl Changes {
+    fn revision(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.revision)
+    }
 }
 
 /// The last compressed copy of all keys. After a restart every VM of a domain requests the same
@@ -88,6 +110,7 @@
 #[derive(Default)]
 struct PackedCache {
     generation: u64,
+    era: StoreEra,
     packed: Option<String>,
 }
 
@@ -96,50 +119,77 @@
 /// An answer is held back while it would contain no changes or this VM has received nothing yet:
 /// when VMs start together, the VM that is asked may be about to receive its first update.
 pub fn register(methods: &mut MethodTable, feed: &Rc<Feed>, timer: &Timer) {
-    let (feed, timer) = (Rc::clone(feed), timer.clone());
     let cache = Rc::new(RefCell::new(PackedCache::default()));
-    methods.register(CHANGES_METHOD, move |_, after: u64| {
-        let (feed, timer, cache) = (Rc::clone(&feed), timer.clone(), Rc::clone(&cache));
-        async move {
-            let after = StoreRevision(after);
-            let change = feed.next_change();
-            let answer = changes_after(&feed, after, &cache);
-            let has_keys = answer.packed.is_some() || !answer.keys.is_empty();
-            // A stale peer answers at once, so that the caller can ask another peer soon.
-            let is_stale = answer.age_ms.is_some_and(|age| age >= MAX_PEER_AGE);
-            if answer.is_snapshot || is_stale || (has_keys && answer.age_ms.is_some()) {
-                return Ok(answer);
-            }
-            select(change.wait(), timer.wait(MAX_HOLD)).await;
-            Ok(changes_after(&feed, after, &cache))
-        }
+    let source = (Rc::clone(feed), timer.clone(), Rc::clone(&cache));
+    methods.register(CHANGES_METHOD, move |_, after: StoreRevision| {
+        let (feed, timer, cache) = source.clone();
+        async move { Ok(answer(feed, timer, cache, after).await) }
+    });
+    let source = (Rc::clone(feed), timer.clone(), cache);
+    methods.register(CHANGES_BY_NUMBER_METHOD, move |_, number: u64| {
+        let (feed, timer, cache) = source.clone();
+        let era = feed.mirror().revision().era;
+        async move { Ok(answer(feed, timer, cache, StoreRevision::new(era, number)).await) }
     });
 }
 
+async fn answer(
+    feed: Rc<Feed>,
+    timer: Timer,
+    cache: Rc<RefCell<PackedCache>>,
+    after: StoreRevision,
+) -> Changes {
+    let change = feed.next_change();
+    let answer = changes_after(&feed, after, &cache);
+    let has_keys = answer.packed.is_some() || !answer.keys.is_empty();
+    let enters_era = after.era < answer.era;
+    // A stale peer answers at once, so that the caller can ask another peer soon.
+    let is_stale = answer.age_ms.is_some_and(|age| age >= MAX_PEER_AGE);
+    if answer.is_snapshot || is_stale || ((has_keys || enters_era) && answer.age_ms.is_some()) {
+        return answer;
+    }
+    select(change.wait(), timer.wait(MAX_HOLD)).await;
+    changes_after(&feed, after, &cache)
+}
+
 fn changes_after(feed: &Feed, after: StoreRevision, cache: &RefCell<PackedCache>) -> Changes {
     let mirror = feed.mirror();
     let newer = mirror.changes_since(after);
+    let at = mirror.revision();
     let mut changes = Changes {
-        revision: mirror.revision().0,
+        revision: at.number,
+        era: at.era,
         is_snapshot: newer.is_none(),
         age_ms: feed.age(),
         settled: feed.is_settled(),
         keys: Vec::new(),
         packed: None,
+        is_confirming: feed.is_confirming(),
+        missing: BTreeSet::new(),
+        returned: Vec::new(),
     };
+    if newer.is_none() || after.era < at.era {
+        let unconfirmed = mirror.unconfirmed().clone();
+        changes.missing = unconfirmed.missing;
+        let returned = unconfirmed.returned.into_iter();
+        let returned = returned.map(|(key, current)| Change { key, current });
+        changes.returned = to_wire(returned.collect(), at.era);
+    }
     match newer {
-        Some(newer) if newer.len() < COMPRESS_FROM_KEYS => changes.keys = to_wire(newer),
-        Some(newer) => changes.packed = Some(packed::pack(&to_wire(newer))),
+        Some(newer) if newer.len() < COMPRESS_FROM_KEYS => changes.keys = to_wire(newer, at.era),
+        Some(newer) => changes.packed = Some(packed::pack(&to_wire(newer, at.era))),
         None => changes.packed = Some(pack_all(&mirror, &mut cache.borrow_mut())),
     }
     changes
 }
 
 fn pack_all(mirror: &Mirror, cache: &mut PackedCache) -> String {
-    let is_same = cache.generation == mirror.generation();
+    let is_same = cache.generation == mirror.generation() && cache.era == mirror.revision().era;
     let cached = cache.packed.take().filter(|_| is_same);
-    let packed = cached.unwrap_or_else(|| packed::pack(&to_wire(mirror.snapshot())));
+    let packed =
+        cached.unwrap_or_else(|| packed::pack(&to_wire(mirror.snapshot(), mirror.revision().era)));
     cache.generation = mirror.generation();
+    cache.era = mirror.revision().era;
     cache.packed = Some(packed.clone());
     packed
 }
@@ -222,7 +272,7 @@
     let opts = CallOptions::idempotent(CALL_TIMEOUT);
     let answer: Changes = cx
         .net
-        .call_address(at, CHANGES_METHOD, &after.0, opts)
+        .call_address(at, CHANGES_METHOD, &after, opts)
         .await?;
     Ok(apply_answer(cx, answer, after))
 }
@@ -279,10 +329,10 @@
         Some(vm) => match presence::peer_address(cx, vm) {
             Some(at) => {
                 cx.net
-                    .call_address(at, CHANGES_METHOD, &after.0, opts)
+                    .call_address(at, CHANGES_METHOD, &after, opts)
                     .await?
             }
-            None => cx.net.call_with(vm, CHANGES_METHOD, &after.0, opts).await?,
+            None => cx.net.call_with(vm, CHANGES_METHOD, &after, opts).await?,
         },
         None => {
             let own = cx.cfg.listen.peers;
@@ -299,7 +349,12 @@
 /// Applies the answer to a request for changes `after` a revision. Returns the age of its data.
 fn apply_answer(cx: &EdgeContext, answer: Changes, after: StoreRevision) -> Option<Millis> {
     let age = answer.age_ms;
-    let is_applied = answer.revision < after.0 || apply_keys(cx, answer);
+    if answer.era < cx.feed.mirror().revision().era {
+        // The peer has not heard yet that the store has lost changes. Its answer tells nothing of the
+        // store's present state, but it will hear of it soon.
+        return age;
+    }
+    let is_applied = answer.revision() < after || apply_keys(cx, answer);
     let age = age.filter(|_| is_applied)?;
     cx.feed.record_peer_data_age(age);
     Some(age)
@@ -343,7 +398,7 @@
 
 /// Applies the keys in an answer; returns whether they could be decoded.
 fn apply_keys(cx: &EdgeContext, answer: Changes) -> bool {
-    let at = StoreRevision(answer.revision);
+    let at = answer.revision();
     let keys = match answer.packed.as_deref().map(packed::unpack) {
         None => answer.keys,
         Some(Ok(keys)) => keys,
@@ -352,21 +407,35 @@
             return false;
         }
     };
-    let keys = keys.into_iter().map(from_wire).collect();
+    let changes = |keys: Vec<WireKey>| keys.into_iter().map(|key| from_wire(key, at.era));
+    let keys = changes(keys).collect();
     match answer.is_snapshot {
         true => cx.feed.apply_snapshot(keys, at, answer.settled),
         false => cx.feed.apply_changes(keys, at, answer.settled),
     }
+    let returned = changes(answer.returned);
+    cx.feed.extend_unconfirmed(UnconfirmedKeys {
+        missing: answer.missing,
+        returned: returned
+            .map(|change| (change.key, change.current))
+            .collect(),
+    });
     if answer.settled {
         cx.feed.remove_missing_servers();
     }
+    // A peer that has just started is not settled and can't tell what the store has lost.
+    if answer.settled && !answer.is_confirming {
+        cx.feed.stop_confirming();
+    }
     true
 }
 
-fn to_wire(changes: Vec<Change>) -> Vec<WireKey> {
+/// Encodes keys for a message whose revision is in `era`.
+fn to_wire(changes: Vec<Change>, era: StoreEra) -> Vec<WireKey> {
     let keys = changes.into_iter().map(|change| WireKey {
         key: change.key,
-        revision: change.current.revision.0,
+        revision: change.current.revision.number,
+        era: Some(change.current.revision.era).filter(|of| *of != era),
         value: change
             .current
             .value
@@ -375,11 +444,11 @@
     keys.collect()
 }
 
-fn from_wire(wire: WireKey) -> Change {
+fn from_wire(wire: WireKey, era: StoreEra) -> Change {
     Change {
         key: wire.key,
         current: VersionedValue {
-            revision: StoreRevision(wire.revision),
+            revision: StoreRevision::new(wire.era.unwrap_or(era), wire.revision),
             value: wire.value.map(Bytes::from),
         },
     }
--- a/crates/edge/src/poison/records.rs
+++ b/crates/edge/src/poison/records.rs
@@ -49,6 +49,15 @@
     serde_json::from_slice(value).ok()
 }
 
+/// Returns whether `value` is an earlier record of a request than `held`.
+pub(crate) fn is_outdated(held: &[u8], value: &[u8]) -> bool {
+    let epoch = |value: &[u8]| {
+        let record = serde_json::from_slice::<RejectionRecord>(value);
+        record.map(|record| record.suspect.epoch)
+    };
+    matches!((epoch(held), epoch(value)), (Ok(held), Ok(epoch)) if epoch < held)
+}
+
 /// Subscribes the detector to changes of the stored records.
 pub(crate) fn subscribe(feed: &Rc<Feed>, detector: &Rc<PoisonDetector>) {
     let detector = Rc::clone(detector);
@@ -135,7 +144,7 @@
             };
             is_pending.then(|| PendingWrite {
                 suspect: entry.suspect.clone(),
-                replaces: mirror.revision_of(&key).unwrap_or(StoreRevision(0)),
+                replaces: mirror.revision_of(&key).unwrap_or(StoreRevision::ZERO),
             })
         });
     pending.take(MAX_PER_CHECK).collect()
--- a/crates/edge/src/presence.rs
+++ b/crates/edge/src/presence.rs
@@ -219,7 +219,7 @@
         recompute(cx, &input);
     }
     cx.metrics.vms.set(cx.vms.borrow().len() as i64);
-    if cx.feed.mirror().revision() > StoreRevision(0) {
+    if cx.feed.mirror().revision() > StoreRevision::ZERO {
         let vms = cx.vms.borrow().len();
         cx.max_vms_seen.set(cx.max_vms_seen.get().max(vms));
         cx.quota.record_vm_count(vms);
--- a/crates/edge/src/rollout/controller.rs
+++ b/crates/edge/src/rollout/controller.rs
@@ -193,7 +193,7 @@
     } = collected.unwrap_or_default();
     let record = versions.record();
     let progress = Progress {
-        order: received.map(|received| (received.revision.0, &received.order)),
+        order: received.map(|received| (received.revision, &received.order)),
         record: record.map(|record| &record.record),
         established: versions.established(),
         elapsed: received.map_or(Millis(0), |received| received.given.age(now)),
@@ -256,7 +256,8 @@
         (None, Some(received)) => {
             let age = received.given.age(now);
             RolloutRecord {
-                order: received.revision.0,
+                order: received.revision.number,
+                order_era: received.revision.era.0,
                 target: received.order.target.clone(),
                 stage: transition.stage,
                 started_unix_ms: view.unix_ms.saturating_sub(age.0),
@@ -277,7 +278,9 @@
     Some(Proposal {
         service: service.clone(),
         record,
-        order_revision: versions.order().map_or(StoreRevision(0), |o| o.revision),
-        record_revision: versions.record().map_or(StoreRevision(0), |r| r.revision),
+        order_revision: versions.order().map_or(StoreRevision::ZERO, |o| o.revision),
+        record_revision: versions
+            .record()
+            .map_or(StoreRevision::ZERO, |r| r.revision),
     })
 }
--- a/crates/edge/src/rollout/plan.rs
+++ b/crates/edge/src/rollout/plan.rs
@@ -5,6 +5,7 @@
 //! which fails only under load or only later can still be stopped within the limit. For the same
 //! reason the shift comes as late as the deadline allows.
 
+use heatherknot_store::port::StoreRevision;
 use heatherknot_types::hash;
 use heatherknot_types::prelude::*;
 
@@ -49,7 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct Progress<'a> {
     /// The order's revision, and the order; `None` if it was removed.
-    pub order: Option<(u64, &'a RolloutOrder)>,
+    pub order: Option<(StoreRevision, &'a RolloutOrder)>,
     /// The latest record of the service.
     pub record: Option<&'a RolloutRecord>,
     /// The version in use, if it is known.
@@ -92,7 +93,7 @@
     };
     match progress
         .record
-        .filter(|record| record.order == revision)
+        .filter(|record| record.order_revision() == revision)
         .map(|record| record.stage)
     {
         None => Some(first_stage(progress, order)),
--- a/crates/edge/src/rollout/record.rs
+++ b/crates/edge/src/rollout/record.rs
@@ -1,6 +1,6 @@
 //! Rollout orders of operators, and the records of their progress in the store.
 
-use heatherknot_store::port::StoreRevision;
+use heatherknot_store::port::{StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +62,15 @@
         !matches!(self, Stage::Canary | Stage::Shift)
     }
 
+    /// Returns the position in the order in which a rollout passes its stages.
+    fn step(self) -> u8 {
+        match self {
+            Stage::Canary => 0,
+            Stage::Shift => 1,
+            Stage::Completed | Stage::RolledBack | Stage::Withdrawn => 2,
+        }
+    }
+
     /// Returns the value of the metrics label.
     pub(crate) fn label(self) -> &'static str {
         match self {
@@ -87,8 +96,11 @@
 /// The progress of a service's latest rollout, as stored.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RolloutRecord {
-    /// Store revision of the order.
+    /// Number of the order's revision in the store.
     pub order: u64,
+    /// Era of that revision.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub order_era: u64,
     /// The version that is to get the traffic.
     pub target: VersionName,
     /// The stage.
@@ -106,6 +118,19 @@
     pub cause: String,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// Returns whether `value` is an earlier record of a service than `held`.
+pub(crate) fn is_outdated(held: &[u8], value: &[u8]) -> bool {
+    let progress = |value: &[u8]| {
+        let record = serde_json::from_slice::<RolloutRecord>(value);
+        record.map(|record| (record.order_revision(), record.stage.step()))
+    };
+    matches!((progress(held), progress(value)), (Ok(held), Ok(progress)) if progress < held)
+}
+
 impl RolloutRecord {
     /// Returns the record's key.
     pub fn key(service: &ServiceName) -> String {
@@ -114,7 +139,7 @@
 
     /// Returns the revision of the order that the record belongs to.
     pub fn order_revision(&self) -> StoreRevision {
-        StoreRevision(self.order)
+        StoreRevision::new(StoreEra(self.order_era), self.order)
     }
 
     /// Returns whether a version was rolled back.
--- a/crates/edge/src/rollout/reports.rs
+++ b/crates/edge/src/rollout/reports.rs
@@ -128,7 +128,7 @@
     let failure = rollouts.with_state(service, order, |state| state.failure.clone());
     RolloutReport {
         service: service.clone(),
-        order: order.0,
+        order: order.number,
         evidence,
         undrained_vms,
         progress: rollouts.progress(service, order),
@@ -160,10 +160,9 @@
     let now = rollouts.now();
     let unfinished = rollouts.unfinished();
     for entry in report.rollouts {
-        let order = StoreRevision(entry.order);
-        if !unfinished.contains(&(entry.service.clone(), order)) {
+        let Some(order) = order_numbered(&unfinished, &entry.service, entry.order) else {
             continue;
-        }
+        };
         rollouts.apply_progress(&entry.service, order, &entry.progress);
         let has_new_failures = rollouts.with_state(&entry.service, order, |state| {
             let totals = &mut state.totals;
@@ -195,22 +194,38 @@
 /// to the report of its domain.
 pub fn apply_answer(rollouts: &Rollouts, orders: &[(ServiceName, u64)], answer: Answer) {
     record_contact(rollouts, orders);
-    for (service, order, cause) in answer.failures {
-        rollouts.record_failure(&service, StoreRevision(order), &cause);
+    let unfinished = rollouts.unfinished();
+    for (service, number, cause) in answer.failures {
+        if let Some(order) = order_numbered(&unfinished, &service, number) {
+            rollouts.record_failure(&service, order, &cause);
+        }
     }
-    for (service, order, progress) in answer.progress {
-        rollouts.apply_progress(&service, StoreRevision(order), &progress);
+    for (service, number, progress) in answer.progress {
+        if let Some(order) = order_numbered(&unfinished, &service, number) {
+            rollouts.apply_progress(&service, order, &progress);
+        }
     }
 }
 
+/// Returns the order of an unfinished rollout by its number in a message. A service has one order at
+/// a time, so that messages need not tell its era.
+fn order_numbered(
+    unfinished: &[(ServiceName, StoreRevision)],
+    service: &ServiceName,
+    number: u64,
+) -> Option<StoreRevision> {
+    let mut orders = unfinished.iter();
+    let found = orders.find(|(of, order)| of == service && order.number == number);
+    found.map(|(_, order)| *order)
+}
+
 fn record_contact(rollouts: &Rollouts, orders: &[(ServiceName, u64)]) {
     let now = rollouts.now();
     let unfinished = rollouts.unfinished();
-    let orders = orders
-        .iter()
-        .map(|(service, order)| (service.clone(), StoreRevision(*order)));
-    for (service, order) in orders.filter(|order| unfinished.contains(order)) {
-        rollouts.with_state(&service, order, |state| state.contact_at = Some(now));
+    for (service, number) in orders {
+        if let Some(order) = order_numbered(&unfinished, service, *number) {
+            rollouts.with_state(service, order, |state| state.contact_at = Some(now));
+        }
     }
 }
 
@@ -231,7 +246,7 @@
     let failed = unfinished.filter_map(|(service, order)| {
         let failure: Option<Rc<str>> =
             rollouts.with_state(&service, order, |state| state.failure.clone());
-        Some((service, order.0, truncated(&failure?)))
+        Some((service, order.number, truncated(&failure?)))
     });
     failed.collect()
 }
@@ -240,7 +255,7 @@
     let unfinished = rollouts.unfinished().into_iter();
     let progress = unfinished.map(|(service, order)| {
         let progress = rollouts.progress(&service, order);
-        (service, order.0, progress)
+        (service, order.number, progress)
     });
     progress.collect()
 }
--- a/crates/edge/src/rollout/state.rs
+++ b/crates/edge/src/rollout/state.rs
@@ -481,7 +481,7 @@
         });
         let is_news = self.routing_state.borrow_mut().fail_rollout(service, order);
         if is_news {
-            warn!(service:% = service, order = order.0, cause; "the target version of a rollout has failed; it gets no more requests");
+            warn!(service:% = service, order:% = order, cause; "the target version of a rollout has failed; it gets no more requests");
             self.wake();
         }
     }
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
+use bytes::Bytes;
 use heatherknot_http::PoolConfig;
 use heatherknot_store::port::StoreRevision;
 use heatherknot_types::prelude::*;
@@ -12,7 +13,9 @@
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::mirror::Change;
+use crate::poison;
 use crate::registration::Registration;
+use crate::rollout;
 use crate::rollout::record::{RECORD_PREFIX, RolloutRecord};
 use crate::rollout::versions::{ReceivedOrder, RolloutAges, VersionTable};
 use crate::settings::Bounds;
@@ -78,7 +81,7 @@
             clock,
             pool,
             catalog: None,
-            catalog_revision: StoreRevision(0),
+            catalog_revision: StoreRevision::ZERO,
             upstreams: HashMap::new(),
             by_service: HashMap::new(),
             evacuated: BTreeSet::new(),
@@ -206,6 +209,29 @@
         }
     }
 
+    /// Returns whether `value` of a key is from an earlier time than `held`, by what it says itself. A
+    /// store that has lost its latest changes returns such values in newer revisions.
+    pub fn is_outdated(&self, key: &str, held: &Bytes, value: &Bytes) -> bool {
+        let keys = &self.dialect.keys;
+        if key == keys.catalog {
+            let version = (self.dialect.catalog)(key, value).map(|catalog| catalog.version);
+            let held = self.catalog.as_ref().map(|held| held.version);
+            return version.is_ok_and(|version| held.is_some_and(|held| version < held));
+        }
+        if let Some(id) = key.strip_prefix(keys.server_prefix) {
+            let upstream = self.upstreams.get(&UpstreamName::from(id));
+            let leaving = upstream.filter(|upstream| upstream.leaving.get());
+            return leaving.is_some_and(|upstream| {
+                (self.dialect.registration)(key, value)
+                    .is_ok_and(|reg| !reg.leaving && reg.started_at == upstream.started_at)
+            });
+        }
+        if key.starts_with(RECORD_PREFIX) {
+            return rollout::record::is_outdated(held, value);
+        }
+        key.starts_with(poison::records::KEY_PREFIX) && poison::records::is_outdated(held, value)
+    }
+
     /// Removes the backend servers whose entries are still missing.
     pub fn remove_missing(&mut self) {
         let missing = std::mem::take(&mut self.missing);
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -10,37 +10,9 @@
 use heatherknot_edge::feed::Feed;
 use heatherknot_edge::peer_feed::select_source;
 use heatherknot_edge::routing_state::RoutingState;
-use heatherknot_store::port::{Store, StoreRevision};
+use heatherknot_store::port::StoreRevision;
 use heatherknot_types::prelude::*;
-use support::{TestClock, delete, entry, put, routing_state};
-
-/// A store that never answers; the tests inject all updates themselves.
-fn silent_store() -> Store {
-    Store {
-        peer: "127.0.0.1:9".parse().expect("an address"),
-        range: Rc::new(|_| Box::pin(std::future::pending())),
-        txn: Rc::new(|_| Box::pin(std::future::pending())),
-        lease_grant: Rc::new(|_| Box::pin(std::future::pending())),
-        lease_keepalive: Rc::new(|_| Box::pin(std::future::pending())),
-        lease_revoke: Rc::new(|_| Box::pin(std::future::pending())),
-        watch: Rc::new(|_| Box::pin(std::future::pending())),
-    }
-}
-
-/// Creates the feed of a VM that is not a watcher and has been running for a long time.
-fn feed(clock: &TestClock) -> (Rc<Feed>, Rc<RefCell<RoutingState>>) {
-    let routing_state = Rc::new(RefCell::new(routing_state(&clock.clock())));
-    let settle_time = Millis(2_500);
-    let feed = Feed::new(
-        silent_store(),
-        clock.timer(),
-        Rc::clone(&routing_state),
-        settle_time,
-    );
-    feed.set_watch_policy(|| false, || None);
-    feed.stop_awaiting_peers();
-    (feed, routing_state)
-}
+use support::{TestClock, delete, entry, feed, put, routing_state, silent_store};
 
 fn servers(routing_state: &RefCell<RoutingState>) -> usize {
     routing_state.borrow().upstreams(&"gallery".into()).len()
@@ -80,12 +52,12 @@
     clock.advance(10_000);
     let (feed, routing_state) = feed(&clock);
     let joined = vec![put("server/a", entry("ready", 0, 1), 3)];
-    feed.apply_changes(joined, StoreRevision(3), true);
+    feed.apply_changes(joined, StoreRevision::from(3), true);
     assert_eq!(servers(&routing_state), 1);
 
     feed.apply_changes(
         vec![delete("server/a", 4)],
-        StoreRevision(4),
+        StoreRevision::from(4),
         feed.is_settled(),
     );
     assert_eq!(servers(&routing_state), 1, "its entry may be written again");
@@ -107,7 +79,7 @@
     let next_change = feed.next_change();
     feed.apply_changes(
         vec![put("server/a", entry("ready", 0, 1), 3)],
-        StoreRevision(3),
+        StoreRevision::from(3),
         true,
     );
     assert!(next_change.is_fired());
@@ -115,7 +87,7 @@
     let next_change = feed.next_change();
     feed.apply_changes(
         vec![put("server/a", entry("ready", 0, 2), 4)],
-        StoreRevision(4),
+        StoreRevision::from(4),
         true,
     );
     assert!(
@@ -124,7 +96,7 @@
     );
     feed.apply_changes(
         vec![put("server/a", entry("leaving", 0, 3), 5)],
-        StoreRevision(5),
+        StoreRevision::from(5),
         true,
     );
     assert!(next_change.is_fired());
--- a/crates/edge/tests/mirror.rs
+++ b/crates/edge/tests/mirror.rs
@@ -32,11 +32,11 @@
     let mut mirror = Mirror::default();
     mirror.apply(&put("gone", "x", 3));
     mirror.apply(&put("newer", "x", 9));
-    let changed = mirror.apply_snapshot(vec![put("kept", "x", 2)], StoreRevision(5));
+    let changed = mirror.apply_snapshot(vec![put("kept", "x", 2)], StoreRevision::from(5));
     let keys: Vec<&str> = changed.iter().map(|c| c.key.as_str()).collect();
     assert_eq!(keys, ["gone", "kept"]);
     assert_eq!(mirror.get("newer"), Some(&Bytes::from("x")));
-    assert_eq!(mirror.revision(), StoreRevision(5));
+    assert_eq!(mirror.revision(), StoreRevision::from(5));
 }
 
 #[test]
@@ -45,11 +45,14 @@
     mirror.apply(&put("config", "1", 2));
     mirror.apply(&put("server", "seq 1", 3));
     mirror.apply(&put("server", "seq 2", 6));
-    mirror.advance(StoreRevision(6));
-    assert_eq!(mirror.changes_since(StoreRevision(3)), Some(Vec::new()));
+    mirror.advance(StoreRevision::from(6));
+    assert_eq!(
+        mirror.changes_since(StoreRevision::from(3)),
+        Some(Vec::new())
+    );
     mirror.mark_relevant("server");
     let changes = mirror
-        .changes_since(StoreRevision(3))
+        .changes_since(StoreRevision::from(3))
         .expect("all is known");
     assert_eq!(changes, [put("server", "seq 2", 6)]);
 }
@@ -57,8 +60,8 @@
 #[test]
 fn a_peer_older_than_the_list_gets_a_full_copy() {
     let mut mirror = Mirror::default();
-    mirror.apply_snapshot(vec![put("a", "x", 2)], StoreRevision(5));
-    assert_eq!(mirror.changes_since(StoreRevision(4)), None);
+    mirror.apply_snapshot(vec![put("a", "x", 2)], StoreRevision::from(5));
+    assert_eq!(mirror.changes_since(StoreRevision::from(4)), None);
     assert_eq!(mirror.snapshot(), [put("a", "x", 2)]);
 }
 
@@ -69,16 +72,16 @@
     let mut mirror = Mirror::default();
     mirror.apply_snapshot(
         vec![put("kept", "x", 2), put("gone", "x", 3)],
-        StoreRevision(5),
+        StoreRevision::from(5),
     );
     let changed = mirror.apply_snapshot(
         vec![put("kept", "x", 2), put("new", "x", 8)],
-        StoreRevision(9),
+        StoreRevision::from(9),
     );
     changed.iter().for_each(|c| mirror.mark_relevant(&c.key));
 
     let changes = mirror
-        .changes_since(StoreRevision(5))
+        .changes_since(StoreRevision::from(5))
         .expect("nothing is missing");
 
     assert_eq!(changes, [delete("gone", 9), put("new", "x", 8)]);
@@ -89,9 +92,12 @@
 #[test]
 fn a_peer_between_two_lists_gets_a_full_copy() {
     let mut mirror = Mirror::default();
-    mirror.apply_snapshot(vec![put("kept", "x", 2)], StoreRevision(5));
-    mirror.apply_snapshot(vec![put("kept", "x", 2)], StoreRevision(9));
+    mirror.apply_snapshot(vec![put("kept", "x", 2)], StoreRevision::from(5));
+    mirror.apply_snapshot(vec![put("kept", "x", 2)], StoreRevision::from(9));
 
-    assert_eq!(mirror.changes_since(StoreRevision(7)), None);
-    assert_eq!(mirror.changes_since(StoreRevision(9)), Some(Vec::new()));
+    assert_eq!(mirror.changes_since(StoreRevision::from(7)), None);
+    assert_eq!(
+        mirror.changes_since(StoreRevision::from(9)),
+        Some(Vec::new())
+    );
 }
--- a/crates/edge/tests/rollout_drain.rs
+++ b/crates/edge/tests/rollout_drain.rs
@@ -212,6 +212,7 @@
     fn apply_record(&self, stage: Stage, revision: u64) {
         let record = RolloutRecord {
             order: 3,
+            order_era: 0,
             target: "v2".into(),
             stage,
             started_unix_ms: 0,
--- a/crates/edge/tests/rollouts.rs
+++ b/crates/edge/tests/rollouts.rs
@@ -488,6 +488,7 @@
 fn record(order: u64, stage: Stage, rolled_back: &[&str]) -> RolloutRecord {
     RolloutRecord {
         order,
+        order_era: 0,
         target: "v2".into(),
         stage,
         started_unix_ms: 0,
@@ -606,7 +607,7 @@
 
 fn progress<'a>(order: &'a RolloutOrder, record: Option<&'a RolloutRecord>) -> Progress<'a> {
     Progress {
-        order: Some((3, order)),
+        order: Some((3.into(), order)),
         record,
         established: None,
         elapsed: Millis(0),
--- /dev/null
+++ b/crates/edge/tests/store_eras.rs
@@ -0,0 +1,306 @@
+//! Tests of a VM's copy when the store loses its latest changes and comes back from a copy in a new
+//! era: revisions of two eras are not compared by number, and what the store has lost is kept until
+//! its writers had time to write it again.
+
+mod support;
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use heatherknot_edge::feed::Feed;
+use heatherknot_edge::mirror::{Change, Mirror};
+use heatherknot_edge::routing_state::RoutingState;
+use heatherknot_store::port::{StoreEra, StoreRevision};
+use heatherknot_types::prelude::*;
+use support::{SETTLE_TIME, TestClock, delete, entry, feed, in_era, put};
+
+const CATALOG: &str = "catalog";
+const SERVER: &str = "server/a";
+const EVACUATION: &str = "evacuated/north-1";
+/// Revision of the VM's copy in era 1, and the one to which the store returns in era 2.
+const BEFORE: u64 = 50;
+const RESTORED: u64 = 40;
+
+fn revision(era: u64, number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(era), number)
+}
+
+/// A VM whose copy was read in era 1.
+struct Vm {
+    clock: TestClock,
+    feed: Rc<Feed>,
+    state: Rc<RefCell<RoutingState>>,
+}
+
+fn vm(changes: &[Change]) -> Vm {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (feed, state) = feed(&clock);
+    let vm = Vm { clock, feed, state };
+    vm.hear();
+    let changes = changes.iter().map(|change| in_era(1, change.clone()));
+    let config = in_era(1, put(CATALOG, "4 gallery", 2));
+    let changes = std::iter::once(config).chain(changes).collect();
+    vm.feed.apply_changes(changes, revision(1, BEFORE), true);
+    vm
+}
+
+impl Vm {
+    /// Records that the store has just answered.
+    fn hear(&self) {
+        self.feed.record_peer_data_age(Millis(0));
+    }
+
+    /// Applies a complete list of era `era`, which always has the configuration.
+    fn restore(&self, era: u64, listed: &[Change]) {
+        let config = put(CATALOG, "4 gallery", 2);
+        let listed = std::iter::once(&config).chain(listed);
+        let listed = listed.map(|change| in_era(era, change.clone())).collect();
+        let at = revision(era, RESTORED);
+        self.feed.apply_snapshot(listed, at, true);
+    }
+
+    fn watch(&self, era: u64, change: Change) {
+        let change = in_era(era, change);
+        let at = change.current.revision;
+        self.feed.apply_changes(vec![change], at, true);
+    }
+
+    /// Lets the time pass in which lost keys may be written again.
+    fn end_wait(&self) {
+        self.clock.advance(SETTLE_TIME.0);
+        self.hear();
+        self.feed.accept_unconfirmed();
+    }
+
+    fn version(&self) -> Option<u64> {
+        let state = self.state.borrow();
+        state.catalog().map(|catalog| catalog.version)
+    }
+
+    fn servers(&self) -> usize {
+        self.state.borrow().upstreams(&"gallery".into()).len()
+    }
+
+    fn is_leaving(&self) -> bool {
+        let state = self.state.borrow();
+        let upstream = state.upstream(&"a".into()).expect("the server is known");
+        upstream.leaving.get()
+    }
+
+    fn is_evacuated(&self) -> bool {
+        self.state.borrow().is_evacuated(&"north-1".into())
+    }
+}
+
+fn ready(number: u64) -> Change {
+    put(SERVER, entry("ready", 0, number), number)
+}
+
+/// Guards against ignoring a change whose number was given out before the loss.
+#[test]
+fn a_configuration_with_a_number_given_out_again_is_in_force() {
+    let vm = vm(&[put(CATALOG, "5 gallery", 45)]);
+    vm.restore(2, &[]);
+    vm.watch(2, put(CATALOG, "6 gallery", 45));
+    assert_eq!(vm.version(), Some(6));
+    assert_eq!(vm.feed.mirror().revision(), revision(2, 45));
+}
+
+/// Guards against going back to the older configuration of the copy, here or at peers.
+#[test]
+fn an_older_configuration_of_the_copy_has_no_effect() {
+    let vm = vm(&[put(CATALOG, "5 gallery", 45)]);
+    vm.restore(2, &[put("other", "x", 3)]);
+    vm.end_wait();
+    assert_eq!(vm.version(), Some(5));
+    let mirror = vm.feed.mirror();
+    assert_eq!(mirror.get(CATALOG), Some(&Bytes::from("5 gallery")));
+    assert_eq!(mirror.revision_of(CATALOG), Some(revision(2, 2)));
+}
+
+/// Guards against taking a lost evacuation for one that was taken back.
+#[test]
+fn a_lost_evacuation_stays_in_force_until_it_is_written_again() {
+    let vm = vm(&[put(EVACUATION, "", 48)]);
+    vm.restore(2, &[]);
+    assert!(vm.is_evacuated());
+    vm.watch(2, put(EVACUATION, "", 43));
+    vm.end_wait();
+    assert!(vm.is_evacuated());
+}
+
+/// Guards against keeping an evacuation forever that the operator does not write again.
+#[test]
+fn a_lost_evacuation_ends_if_it_is_not_written_again() {
+    let vm = vm(&[put(EVACUATION, "", 48)]);
+    vm.restore(2, &[]);
+    vm.end_wait();
+    assert!(!vm.is_evacuated());
+}
+
+/// Guards against evacuating a domain again that was back in service before the loss.
+#[test]
+fn an_evacuation_that_was_taken_back_does_not_return() {
+    let vm = vm(&[put(EVACUATION, "", 30)]);
+    vm.watch(1, delete(EVACUATION, 51));
+    vm.restore(2, &[put(EVACUATION, "", 30)]);
+    assert!(!vm.is_evacuated());
+    vm.watch(2, delete(EVACUATION, 41));
+    vm.end_wait();
+    assert!(!vm.is_evacuated());
+}
+
+/// Guards against missing an evacuation that was ordered between the loss and the list.
+#[test]
+fn a_new_evacuation_after_one_that_was_taken_back_is_in_force() {
+    let vm = vm(&[put(EVACUATION, "", 30)]);
+    vm.watch(1, delete(EVACUATION, 51));
+    vm.restore(2, &[put(EVACUATION, "", 39)]);
+    assert!(vm.is_evacuated());
+}
+
+/// Guards against sending to a leaving server because the copy still shows it as ready.
+#[test]
+fn a_leaving_server_stays_leaving() {
+    let vm = vm(&[ready(30)]);
+    vm.watch(1, put(SERVER, entry("leaving", 0, 51), 51));
+    vm.restore(2, &[ready(30)]);
+    vm.end_wait();
+    assert!(vm.is_leaving());
+    let mirror = vm.feed.mirror();
+    assert_eq!(mirror.get(SERVER), Some(&entry("leaving", 0, 51)));
+}
+
+/// Guards against sending to a server that has ended because the copy still shows it.
+#[test]
+fn an_ended_server_does_not_return() {
+    let vm = vm(&[ready(30)]);
+    vm.watch(1, delete(SERVER, 51));
+    vm.restore(2, &[ready(30)]);
+    assert_eq!(vm.servers(), 0);
+    vm.watch(2, delete(SERVER, 41));
+    vm.end_wait();
+    assert_eq!(vm.servers(), 0);
+}
+
+/// Guards against never using a server again whose entry had expired before the loss.
+#[test]
+fn a_returned_server_is_used_once_its_entry_was_not_removed_again() {
+    let vm = vm(&[ready(30)]);
+    vm.watch(1, delete(SERVER, 51));
+    vm.restore(2, &[ready(30)]);
+    vm.end_wait();
+    assert_eq!(vm.servers(), 1);
+}
+
+/// Guards against removing servers whose entries are lost before they can write them again.
+#[test]
+fn a_lost_server_is_kept_until_it_had_time_to_write_its_entry() {
+    let vm = vm(&[ready(48)]);
+    vm.restore(2, &[]);
+    assert_eq!(vm.servers(), 1);
+    vm.clock.advance(SETTLE_TIME.0 - 1);
+    vm.hear();
+    vm.feed.accept_unconfirmed();
+    assert_eq!(vm.servers(), 1);
+    vm.end_wait();
+    assert_eq!(vm.servers(), 0);
+}
+
+/// Guards against losing a server whose entry was written again in time.
+#[test]
+fn a_lost_server_that_writes_its_entry_again_stays() {
+    let vm = vm(&[ready(48)]);
+    vm.restore(2, &[]);
+    vm.watch(2, ready(44));
+    vm.end_wait();
+    assert_eq!(vm.servers(), 1);
+}
+
+/// Guards against a second loss that finds the first one still being repaired.
+#[test]
+fn two_losses_in_a_row_are_told_apart() {
+    let vm = vm(&[put(CATALOG, "5 gallery", 45), put(EVACUATION, "", 48)]);
+    vm.restore(2, &[]);
+    vm.watch(2, put(CATALOG, "5 gallery", 49));
+    vm.restore(3, &[]);
+    assert_eq!((vm.version(), vm.is_evacuated()), (Some(5), true));
+    vm.watch(3, put(CATALOG, "6 gallery", 41));
+    vm.watch(3, put(EVACUATION, "", 42));
+    vm.end_wait();
+    assert_eq!((vm.version(), vm.is_evacuated()), (Some(6), true));
+}
+
+/// Guards against a VM that was cut off during two losses and knows only the era before both.
+#[test]
+fn a_vm_that_missed_an_era_enters_the_present_one() {
+    let vm = vm(&[put(CATALOG, "5 gallery", 45)]);
+    vm.restore(3, &[]);
+    vm.watch(3, put(CATALOG, "6 gallery", 41));
+    assert_eq!(vm.version(), Some(6));
+}
+
+/// Guards against taking the first read after a start for a loss.
+#[test]
+fn a_first_start_is_no_loss() {
+    let clock = TestClock::default();
+    let (feed, _) = feed(&clock);
+    feed.apply_snapshot(vec![in_era(7, ready(3))], revision(7, 9), true);
+    assert!(!feed.is_confirming());
+    assert!(feed.mirror().unconfirmed().is_empty());
+}
+
+/// Guards against telling a VM of the earlier era with the higher number that it has missed nothing.
+#[test]
+fn a_peer_of_the_earlier_era_with_a_higher_number_gets_a_full_copy() {
+    let mut mirror = Mirror::default();
+    mirror.apply_snapshot(vec![in_era(1, ready(30))], revision(1, BEFORE));
+    mirror.apply_snapshot(vec![in_era(2, ready(30))], revision(2, RESTORED));
+    assert_eq!(mirror.changes_since(revision(1, BEFORE + 1)), None);
+    assert_eq!(mirror.changes_since(revision(1, BEFORE)), Some(Vec::new()));
+}
+
+/// Guards against a VM that entered the era by a peer and passes on only what that peer had missed.
+#[test]
+fn a_vm_that_entered_the_era_by_changes_sends_a_full_copy_to_peers_ahead_of_it() {
+    let mut mirror = Mirror::default();
+    mirror.apply_snapshot(vec![in_era(1, ready(30))], revision(1, BEFORE));
+    mirror.advance(revision(2, RESTORED));
+    assert_eq!(mirror.changes_since(revision(1, BEFORE + 1)), None);
+}
+
+/// Guards against a key that only the receiver had seen: its change was lost, and no list has it.
+#[test]
+fn a_full_copy_replaces_a_lost_value_that_its_sender_never_saw() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&in_era(1, put("key", "lost", 49)));
+    mirror.advance(revision(1, BEFORE));
+    mirror.apply_snapshot(
+        vec![in_era(1, put("key", "kept", 30))],
+        revision(2, RESTORED),
+    );
+    assert_eq!(mirror.get("key"), Some(&Bytes::from("kept")));
+}
+
+/// Guards against VMs that enter the era by a peer and don't know which keys are only missing.
+#[test]
+fn a_vm_waits_for_the_keys_for_which_its_peer_waits() {
+    let (one, other) = (vm(&[ready(48)]), vm(&[ready(48)]));
+    one.restore(2, &[]);
+    let changes = one.feed.mirror().changes_since(revision(1, BEFORE));
+    let unconfirmed = one.feed.mirror().unconfirmed().clone();
+    assert_eq!(unconfirmed.missing, BTreeSet::from([SERVER.to_owned()]));
+
+    let changes = changes.expect("nothing is missing");
+    other
+        .feed
+        .apply_changes(changes, revision(2, RESTORED), true);
+    other.feed.extend_unconfirmed(unconfirmed);
+
+    assert_eq!(other.servers(), 1);
+    other.end_wait();
+    assert_eq!(other.servers(), 0);
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -9,7 +9,7 @@
 pub mod region_model;
 pub mod rollout_model;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,13 +18,14 @@
 use heatherknot_edge::accounts::Accounts;
 use heatherknot_edge::catalog::{Catalog, CatalogParts, Route, ServiceSpec, Target};
 use heatherknot_edge::dialect::{Dialect, HeaderNames, KeyNames, LookupAnswer, LookupQuery};
+use heatherknot_edge::feed::Feed;
 use heatherknot_edge::mirror::{Change, VersionedValue};
 use heatherknot_edge::registration::Registration;
 use heatherknot_edge::rollout::record::RolloutOrder;
 use heatherknot_edge::routing_state::RoutingState;
 use heatherknot_edge::upstream::Upstream;
 use heatherknot_http::{PoolConfig, Response};
-use heatherknot_store::port::StoreRevision;
+use heatherknot_store::port::{Store, StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
 use http::{HeaderName, StatusCode};
 
@@ -52,6 +53,36 @@
     }
 }
 
+/// How long a feed of [`feed`] waits for keys to be written again.
+pub const SETTLE_TIME: Millis = Millis(2_500);
+
+/// A store that never answers; the tests inject all updates themselves.
+pub fn silent_store() -> Store {
+    Store {
+        peer: "127.0.0.1:9".parse().expect("an address"),
+        range: Rc::new(|_| Box::pin(std::future::pending())),
+        txn: Rc::new(|_| Box::pin(std::future::pending())),
+        lease_grant: Rc::new(|_| Box::pin(std::future::pending())),
+        lease_keepalive: Rc::new(|_| Box::pin(std::future::pending())),
+        lease_revoke: Rc::new(|_| Box::pin(std::future::pending())),
+        watch: Rc::new(|_| Box::pin(std::future::pending())),
+    }
+}
+
+/// Creates the feed of a VM that is not a watcher and has been running for a long time.
+pub fn feed(clock: &TestClock) -> (Rc<Feed>, Rc<RefCell<RoutingState>>) {
+    let routing_state = Rc::new(RefCell::new(routing_state(&clock.clock())));
+    let feed = Feed::new(
+        silent_store(),
+        clock.timer(),
+        Rc::clone(&routing_state),
+        SETTLE_TIME,
+    );
+    feed.set_watch_policy(|| false, || None);
+    feed.stop_awaiting_peers();
+    (feed, routing_state)
+}
+
 pub fn registration(id: &str, domain: &str) -> Registration {
     Registration {
         id: id.into(),
@@ -90,7 +121,7 @@
     Change {
         key: key.to_owned(),
         current: VersionedValue {
-            revision: StoreRevision(revision),
+            revision: StoreRevision::from(revision),
             value: Some(value.into()),
         },
     }
@@ -100,12 +131,18 @@
     Change {
         key: key.to_owned(),
         current: VersionedValue {
-            revision: StoreRevision(revision),
+            revision: StoreRevision::from(revision),
             value: None,
         },
     }
 }
 
+/// Returns the same change in an era of the store.
+pub fn in_era(era: u64, mut change: Change) -> Change {
+    change.current.revision.era = StoreEra(era);
+    change
+}
+
 pub fn route(host: &str, prefix: &str, service: &str) -> Route {
     Route {
         name: format!("{host}{prefix}").into(),
--- a/crates/edge/tests/support/rollout_model.rs
+++ b/crates/edge/tests/support/rollout_model.rs
@@ -538,7 +538,7 @@
         let key = RolloutRecord::key(&proposal.service);
         let revision_of = |key: &str| {
             let item = self.keys.get(key);
-            StoreRevision(item.map_or(0, |(revision, _)| *revision))
+            StoreRevision::from(item.map_or(0, |(revision, _)| *revision))
         };
         let may_write = self.now >= self.store_down_until
             && revision_of(ORDER_KEY) == proposal.order_revision
--- a/crates/replay/src/fleet.rs
+++ b/crates/replay/src/fleet.rs
@@ -299,7 +299,7 @@
         if let Some(intent) = holder.plan_write(&book.ledger, book.at, used, departures) {
             holder.record_send(&intent);
             book.ledger = intent.ledger;
-            book.at = StoreRevision(book.at.0 + 1);
+            book.at = book.at.next();
             holder.observe(&book.ledger, book.at).expect(fault);
         }
         let part = holder.limit();
--- a/crates/store/src/capacity/mod.rs
+++ b/crates/store/src/capacity/mod.rs
@@ -151,7 +151,7 @@
 
     fn observe_kv(&self, step: Step, kv: Option<&KeyValue>) -> Result<LedgerRead, StoreError> {
         let Some(kv) = kv else {
-            return self.observe_ledger(step, Ledger::default(), StoreRevision(0));
+            return self.observe_ledger(step, Ledger::default(), StoreRevision::ZERO);
         };
         let ledger = from_json(&self.store, step, kv)?;
         self.observe_ledger(step, ledger, kv.mod_revision)
--- a/crates/store/src/capacity/state.rs
+++ b/crates/store/src/capacity/state.rs
@@ -71,7 +71,7 @@
             guaranteed: 0,
             target: 0,
             pending: None,
-            last_seen: StoreRevision(0),
+            last_seen: StoreRevision::ZERO,
             status: EntryStatus::NotJoined,
         }
     }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -6,6 +6,8 @@
 use heatherknot_types::prelude::*;
 use snafu::Snafu;
 
+use crate::port::StoreEra;
+
 /// Whether a failed call may have taken effect on the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -94,6 +96,15 @@
         /// The oldest revision that is available, or zero if the platform did not report it.
         oldest: u64,
     },
+    /// The store answered in another era than expected. It has lost its latest changes, or the answer
+    /// is from before it did.
+    #[snafu(display("the store answered in era {found}; era {expected} was expected"))]
+    EraChanged {
+        /// The era of the local copy, of a precondition or of the newest answer.
+        expected: StoreEra,
+        /// The era of the answer.
+        found: StoreEra,
+    },
     /// The lease has expired or never existed.
     #[snafu(display("lease not found"))]
     LeaseNotFound,
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -161,7 +161,7 @@
         let req = WatchRequest {
             key: keys::HEAD.to_owned(),
             end: None,
-            start: StoreRevision(current.store_revision.0 + 1),
+            start: current.store_revision.next(),
         };
         let mut watch = (self.store.watch)(req).await?;
         let mut newest = current.head.revision;
--- a/crates/store/src/http_store/convert.rs
+++ b/crates/store/src/http_store/convert.rs
@@ -25,7 +25,7 @@
 pub(super) fn range_from_wire(resp: WireRangeResponse) -> Result<RangeResponse, Cause> {
     let kvs: Result<Vec<_>, _> = resp.kvs.into_iter().map(kv_from_wire).collect();
     Ok(RangeResponse {
-        revision: StoreRevision(resp.header.revision.to_u64()),
+        revision: StoreRevision::from(resp.header.revision.to_u64()),
         kvs: kvs?,
         more: resp.more,
     })
@@ -35,8 +35,8 @@
     Ok(KeyValue {
         key: key_from_wire(kv.key)?,
         value: kv.value.0,
-        create_revision: StoreRevision(kv.create_revision.to_u64()),
-        mod_revision: StoreRevision(kv.mod_revision.to_u64()),
+        create_revision: StoreRevision::from(kv.create_revision.to_u64()),
+        mod_revision: StoreRevision::from(kv.mod_revision.to_u64()),
         lease: LeaseId(kv.lease.0),
     })
 }
@@ -58,8 +58,10 @@
 
 fn compare_to_wire(compare: &Compare) -> WireCompare {
     let (key, target, mod_revision, create_revision) = match compare {
-        Compare::ModRevision(key, rev) => (key, "MOD", Some(Int64::from_u64(rev.0)), None),
-        Compare::CreateRevision(key, rev) => (key, "CREATE", None, Some(Int64::from_u64(rev.0))),
+        Compare::ModRevision(key, rev) => (key, "MOD", Some(Int64::from_u64(rev.number)), None),
+        Compare::CreateRevision(key, rev) => {
+            (key, "CREATE", None, Some(Int64::from_u64(rev.number)))
+        }
     };
     WireCompare {
         key: Base64::from_text(key),
@@ -93,7 +95,7 @@
         .map(range_from_wire)
         .collect();
     Ok(TxnResponse {
-        revision: StoreRevision(resp.header.revision.to_u64()),
+        revision: StoreRevision::from(resp.header.revision.to_u64()),
         succeeded: resp.succeeded,
         ranges: ranges?,
     })
@@ -111,7 +113,7 @@
         create_request: WireWatchCreate {
             key: Base64::from_text(&req.key),
             range_end: req.end.as_deref().map(Base64::from_text),
-            start_revision: Int64::from_u64(req.start.0),
+            start_revision: Int64::from_u64(req.start.number),
             progress_notify: true,
         },
     }
@@ -140,14 +142,14 @@
     for event in resp.events {
         events.push(match event.kind.as_str() {
             "DELETE" => {
-                let revision = StoreRevision(event.kv.mod_revision.to_u64());
+                let revision = StoreRevision::from(event.kv.mod_revision.to_u64());
                 Event::Delete(key_from_wire(event.kv.key)?, revision)
             }
             _ => Event::Put(kv_from_wire(event.kv)?),
         });
     }
     Ok(WatchMessage {
-        revision: StoreRevision(resp.header.revision.to_u64()),
+        revision: StoreRevision::from(resp.header.revision.to_u64()),
         events,
     })
 }
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -8,6 +8,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::LocalBoxStream;
 use heatherknot_types::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use crate::error::StoreError;
 
@@ -17,17 +18,69 @@
 /// The messages of a watch. The stream ends after an error.
 pub type WatchStream = LocalBoxStream<'static, Result<WatchMessage, StoreError>>;
 
-/// The revision counter of the store, which grows with every write. Zero means "does not exist" in
-/// a comparison and "from the next change on" in a watch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StoreRevision(pub u64);
+/// The era of the store. It rises by one each time the store loses its latest changes and comes back
+/// from a copy. Zero in stores that have no eras.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
 
-impl fmt::Display for StoreRevision {
+impl fmt::Display for StoreEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
     }
 }
 
+/// A revision of the store, ordered by era first.
+///
+/// Within an era the number grows with every write. A new era gives numbers of the previous one out
+/// again, so that numbers of different eras can't be compared.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreRevision {
+    /// The era.
+    pub era: StoreEra,
+    /// The number. Zero means "does not exist" in a comparison and "from the next change on" in a
+    /// watch.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// The revision before all others.
+    pub const ZERO: Self = Self {
+        era: StoreEra(0),
+        number: 0,
+    };
+
+    /// Creates the revision with this number in an era.
+    pub const fn new(era: StoreEra, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Returns the revision after this one, in the same era.
+    pub const fn next(self) -> Self {
+        Self::new(self.era, self.number + 1)
+    }
+}
+
+impl From<u64> for StoreRevision {
+    /// Creates a revision of a store that has no eras.
+    fn from(number: u64) -> Self {
+        Self::new(StoreEra(0), number)
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era {
+            StoreEra(0) => write!(f, "{}", self.number),
+            era => write!(f, "{era}.{}", self.number),
+        }
+    }
+}
+
 /// The identifier of a lease. Zero means "no lease".
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LeaseId(pub i64);
@@ -137,7 +190,7 @@
 impl Compare {
     /// Requires that the key does not exist.
     pub fn absent(key: impl Into<String>) -> Self {
-        Self::CreateRevision(key.into(), StoreRevision(0))
+        Self::CreateRevision(key.into(), StoreRevision::ZERO)
     }
 
     /// Requires that the key was last modified at `revision`.
--- a/crates/store/tests/capacity.rs
+++ b/crates/store/tests/capacity.rs
@@ -347,7 +347,7 @@
 fn lower_of_two_unanswered_writes_limits_the_vm() {
     let entries = r#"{"e":[{"v":"a","i":1,"p":1000},{"v":"b","i":2,"p":0}]}"#;
     let ledger: Ledger = serde_json::from_str(entries).unwrap();
-    let (before, after) = (StoreRevision(5), StoreRevision(6));
+    let (before, after) = (StoreRevision::from(5), StoreRevision::from(6));
     let b_leaves = Departures {
         leaving: vec![VmName::from("b")],
         gone: Vec::new(),
--- a/crates/store/tests/capacity_model.rs
+++ b/crates/store/tests/capacity_model.rs
@@ -107,7 +107,7 @@
     }
 
     fn read(&mut self, vm: usize) {
-        let at = StoreRevision(self.revision);
+        let at = StoreRevision::from(self.revision);
         let ledger = self.ledger.clone();
         let Some(process) = &mut self.processes[vm] else {
             return;
@@ -151,11 +151,11 @@
             return;
         }
         let write = self.network.remove(index % self.network.len());
-        if write.planned.expected_revision == StoreRevision(self.revision) {
+        if write.planned.expected_revision == StoreRevision::from(self.revision) {
             self.revision += 1;
             self.ledger = write.planned.ledger.clone();
         }
-        let (ledger, at) = (self.ledger.clone(), StoreRevision(self.revision));
+        let (ledger, at) = (self.ledger.clone(), StoreRevision::from(self.revision));
         let Some(process) = &mut self.processes[write.vm] else {
             return;
         };
--- a/crates/store/tests/protocol.rs
+++ b/crates/store/tests/protocol.rs
@@ -302,7 +302,7 @@
         let req = WatchRequest {
             key: "w".to_owned(),
             end: None,
-            start: StoreRevision(0),
+            start: StoreRevision::ZERO,
         };
         let mut watch = (store.watch)(req).await.unwrap();
         platform.faults(|faults| faults.watch_stalled = true);
@@ -323,7 +323,7 @@
         let req = WatchRequest {
             key: "w".to_owned(),
             end: None,
-            start: StoreRevision(0),
+            start: StoreRevision::ZERO,
         };
         let watch = (store.watch)(req).await.unwrap();
         let waiting = platform.calls().watching;
