Tell removed keys from lost ones, and read a new era's keys at once

One run of store_restore in about eight, by the daemons' logs: a watcher read all keys half a second after the store had come back, paused by the backoff of the outage before. A server's entry was removed between the two, so the read took it for lost and waited 2.2 s for it to be written again; six VMs sent to the server for up to 2.53 s, 2.5 s are allowed.

A key that was created before the newest key that has not changed since was in the copy, so it is missing because it was removed, and is removed here at once. The number of its creation is kept with each key and told to peers. The first read of a new era follows without a pause, and peers whose requests are held back enter the era at once.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -273,13 +273,14 @@
                 Ok(()) => continue,
                 Err(error) => {
                     failures += 1;
-                    let is_new_era = matches!(error.source, Cause::EraChanged { .. });
-                    must_read_all |= is_new_era || matches!(error.source, Cause::Compacted { .. });
-                    if is_new_era {
+                    if matches!(error.source, Cause::EraChanged { .. }) {
                         info!(step:% = error.step, cause:% = error.source; "all keys have to be read from the store");
-                        backoff.pause(failures).await;
+                        if std::mem::replace(&mut must_read_all, true) {
+                            backoff.pause(failures).await;
+                        }
                         continue;
                     }
+                    must_read_all |= matches!(error.source, Cause::Compacted { .. });
                     self.record_store_failure(&error);
                     if !self.is_watcher() {
                         self.back_off_from_store();
@@ -376,29 +377,41 @@
 
     /// Applies changes up to revision `at`.
     pub fn apply_changes(&self, changes: Vec<Change>, at: StoreRevision, settled: bool) {
-        self.record_era(at);
+        let enters_era = self.record_era(at);
         let mut mirror = self.mirror.borrow_mut();
         let changes: Vec<Change> = changes.into_iter().filter(|c| mirror.apply(c)).collect();
         mirror.advance(at);
         drop(mirror);
         self.publish_changes(&changes, settled);
+        self.notify_of_era(enters_era);
     }
 
     /// Applies a complete list of keys read at revision `at`.
     pub fn apply_snapshot(&self, listed: Vec<Change>, at: StoreRevision, settled: bool) {
-        self.record_era(at);
+        let enters_era = self.record_era(at);
         let changes = self.mirror.borrow_mut().apply_snapshot(listed, at);
         self.publish_changes(&changes, settled);
+        self.notify_of_era(enters_era);
     }
 
     /// Waits for lost keys to be written again, if `at` is the first revision here of a new era.
-    fn record_era(&self, at: StoreRevision) {
+    /// Returns whether it is.
+    fn record_era(&self, at: StoreRevision) -> bool {
         let mirror = self.mirror.borrow();
-        if mirror.is_new_era(at) {
+        let is_new = mirror.is_new_era(at);
+        if is_new {
             info!(held:% = mirror.revision(), at:% = at, wait_ms = self.settle_time.0;
                 "the local copy enters a new era of the store; waiting for lost keys to be written again");
             self.confirm_until.set(self.timer.now() + self.settle_time);
         }
+        is_new
+    }
+
+    /// Answers peers that wait for a change, because they have to enter the new era, too.
+    fn notify_of_era(&self, is_new: bool) {
+        if is_new {
+            self.next_change.take().fire();
+        }
     }
 
     /// Returns whether keys that the store has lost may still be written again.
@@ -517,6 +530,7 @@
             key,
             current: VersionedValue {
                 revision,
+                created: 0,
                 value: None,
             },
         },
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -25,6 +25,8 @@
 pub struct VersionedValue {
     /// Revision of the key's last change.
     pub revision: StoreRevision,
+    /// Number of the revision at which the key was created; zero if that is not known.
+    pub created: u64,
     /// The value; `None` if the key was deleted.
     pub value: Option<Bytes>,
 }
@@ -181,6 +183,7 @@
             }
             if is_same || is_outdated {
                 entry.current.revision = revision;
+                entry.current.created = change.current.created;
                 return false;
             }
         }
@@ -247,7 +250,8 @@
     /// Applies a full list whose reading began at revision `at`; returns the resulting changes.
     ///
     /// A key that is missing from the list and was last changed at or before `at` counts as
-    /// deleted. One that was last changed in an earlier era is unconfirmed instead.
+    /// deleted. One of an earlier era is unconfirmed instead, unless the copy to which the store has
+    /// returned certainly had it.
     pub fn apply_snapshot(&mut self, listed: Vec<Change>, at: StoreRevision) -> Vec<Change> {
         let present: std::collections::HashSet<&str> =
             listed.iter().map(|change| change.key.as_str()).collect();
@@ -255,9 +259,15 @@
             let current = &entry.current;
             current.value.is_some() && current.revision <= at && !present.contains(key.as_str())
         };
+        let kept = self.newest_unchanged(&listed);
+        let may_be_lost = |(_, entry): &(&String, &Entry)| {
+            let VersionedValue {
+                revision, created, ..
+            } = entry.current;
+            revision.era < at.era && (created == 0 || created > kept)
+        };
         let missing = self.keys.iter().filter(is_missing);
-        let (unconfirmed, removed): (Vec<_>, Vec<_>) =
-            missing.partition(|(_, entry)| entry.current.revision.era < at.era);
+        let (unconfirmed, removed): (Vec<_>, Vec<_>) = missing.partition(may_be_lost);
         let unconfirmed: Vec<String> = unconfirmed.iter().map(|(key, _)| (*key).clone()).collect();
         let mut changed: Vec<Change> = removed
             .iter()
@@ -280,6 +290,21 @@
         changed
     }
 
+    /// Returns the highest number of a listed key that has not changed since. What was created up to
+    /// there was not lost.
+    fn newest_unchanged(&self, listed: &[Change]) -> u64 {
+        let is_unchanged = |change: &&Change| {
+            let held = self.keys.get(&change.key).map(|entry| &entry.current);
+            held.is_some_and(|held| {
+                held.revision.number == change.current.revision.number
+                    && held.value == change.current.value
+            })
+        };
+        let unchanged = listed.iter().filter(is_unchanged);
+        let numbers = unchanged.map(|change| change.current.revision.number);
+        numbers.max().unwrap_or(0)
+    }
+
     /// Applies a key of the first complete list of an era; returns whether it was newer.
     fn apply_listed(&mut self, change: &Change, at: StoreRevision) -> bool {
         let Some(entry) = self.keys.get_mut(&change.key) else {
@@ -402,6 +427,7 @@
         key,
         current: VersionedValue {
             revision,
+            created: 0,
             value: None,
         },
     }
@@ -420,6 +446,7 @@
             key: kv.key,
             current: VersionedValue {
                 revision: kv.mod_revision,
+                created: kv.create_revision.number,
                 value: Some(kv.value),
             },
         }
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -61,6 +61,9 @@
     /// Era of the revision, unless it is that of the message.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     era: Option<StoreEra>,
+    /// Number of the revision at which the key was created; zero if that is not known.
+    #[serde(rename = "c", default)]
+    created: u64,
     /// `None` if the key was deleted.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     value: Option<String>,
@@ -435,6 +438,7 @@
     let keys = changes.into_iter().map(|change| WireKey {
         key: change.key,
         revision: change.current.revision.number,
+        created: change.current.created,
         era: Some(change.current.revision.era).filter(|of| *of != era),
         value: change
             .current
@@ -449,6 +453,7 @@
         key: wire.key,
         current: VersionedValue {
             revision: StoreRevision::new(wire.era.unwrap_or(era), wire.revision),
+            created: wire.created,
             value: wire.value.map(Bytes::from),
         },
     }
--- a/crates/edge/tests/store_eras.rs
+++ b/crates/edge/tests/store_eras.rs
@@ -210,6 +210,14 @@
     assert_eq!(vm.servers(), 0);
 }
 
+/// Guards against waiting for a server whose entry was removed after the loss.
+#[test]
+fn a_server_that_the_copy_had_and_the_store_has_not_is_gone_at_once() {
+    let vm = vm(&[ready(30), put("server/b", entry("ready", 0, 1), 35)]);
+    vm.restore(2, &[put("server/b", entry("ready", 0, 1), 35)]);
+    assert_eq!(vm.servers(), 1);
+}
+
 /// Guards against losing a server whose entry was written again in time.
 #[test]
 fn a_lost_server_that_writes_its_entry_again_stays() {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -122,6 +122,7 @@
         key: key.to_owned(),
         current: VersionedValue {
             revision: StoreRevision::from(revision),
+            created: revision,
             value: Some(value.into()),
         },
     }
@@ -132,6 +133,7 @@
         key: key.to_owned(),
         current: VersionedValue {
             revision: StoreRevision::from(revision),
+            created: 0,
             value: None,
         },
     }
