Write the VMs' own records again that the store has lost

The operator and the backend servers write again what a store loses that comes back from a copy.

Every VM's copy still has them. The first watcher of the store writes those that are missing or outdated there, in batches, under the condition that the store's state is still the one that was read; the next watcher follows if it does not.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -41,9 +41,9 @@
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
 use crate::{
-    backpressure, call, entry_maintenance, forward, hand_over, locality_update, lookup, peer_feed,
-    poison, presence, reachability, reply, request_limit, request_log, rollout, round_trip, stop,
-    upstream,
+    backpressure, call, entry_maintenance, forward, hand_over, locality_update, lookup,
+    lost_records, peer_feed, poison, presence, reachability, reply, request_limit, request_log,
+    rollout, round_trip, stop, upstream,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -429,6 +429,7 @@
     );
     monoio::spawn(Rc::clone(&cx.feed).run());
     monoio::spawn(entry_maintenance::run(Rc::clone(cx)));
+    monoio::spawn(lost_records::run(Rc::clone(cx)));
     monoio::spawn(peer_feed::run(Rc::clone(cx)));
     monoio::spawn(peer_feed::fetch_from_seeds(Rc::clone(cx)));
     monoio::spawn(round_trip::run(Rc::clone(cx)));
--- a/crates/edge/src/feed_topology.rs
+++ b/crates/edge/src/feed_topology.rs
@@ -56,6 +56,11 @@
         topology
     }
 
+    /// Returns the VMs that watch the store, the first-ranked one first.
+    pub fn watchers(&self) -> &[VmName] {
+        &self.watchers
+    }
+
     /// Returns whether `vm` watches the store.
     pub fn is_watcher(&self, vm: &VmName) -> bool {
         self.watchers.contains(vm)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod locality_update;
 pub mod log_limit;
 pub mod lookup;
+mod lost_records;
 pub mod metrics;
 pub mod mirror;
 pub mod packed;
