Keep a rollout when its order is written again in a new era

A rollout is named by the revision of its order. An order that the store has lost and that the operator writes again has another revision, so the rollout would have begun anew: its canary once more, with a new time limit.

The same order in a later era keeps its first revision, and a VM that starts afterwards takes it from the record. Writes require the order's revision in the store instead. Three of the four new tests fail without this.

--- a/crates/edge/src/rollout/versions.rs
+++ b/crates/edge/src/rollout/versions.rs
@@ -85,6 +85,13 @@
     }
 }
 
+impl ReceivedOrder {
+    /// Returns whether this is the `held` order, written again in a later era of the store.
+    fn repeats(&self, held: &ReceivedOrder) -> bool {
+        self.revision.era > held.revision.era && self.order == held.order
+    }
+}
+
 /// A record as it was received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRecord {
@@ -147,8 +154,16 @@
     }
 
     /// Sets or removes the order of a service.
+    ///
+    /// An order that the store has lost and that was written again keeps its first revision, by which
+    /// its record and the VMs' messages name it.
     pub fn set_order(&mut self, service: &ServiceName, order: Option<ReceivedOrder>) {
-        self.versions_mut(service).order = order;
+        let versions = self.versions_mut(service);
+        versions.order = match (versions.order.take(), order) {
+            (Some(held), Some(order)) if order.repeats(&held) => Some(held),
+            (_, order) => order,
+        };
+        versions.recognize_order();
     }
 
     /// Sets the record of a service.
@@ -181,6 +196,7 @@
                 .or(announced)
                 .unwrap_or_else(|| PastMoment::new(now)),
         });
+        versions.recognize_order();
     }
 
     /// Applies the ages of a rollout as a peer knows them.
@@ -279,6 +295,21 @@
         self.record.as_ref()
     }
 
+    /// Takes the present order for the one of the record, if it was written again in a later era of
+    /// the store. A VM that starts afterwards knows only its later revision.
+    fn recognize_order(&mut self) {
+        let (Some(order), Some(record)) = (&mut self.order, &self.record) else {
+            return;
+        };
+        let record = &record.record;
+        let is_same = record.target == order.order.target
+            && record.time_limit == order.order.time_limit
+            && record.stage != Stage::Withdrawn;
+        if is_same && order.revision.era > record.order_revision().era {
+            order.revision = record.order_revision();
+        }
+    }
+
     /// Returns whether the target version of the present order is known to have failed.
     pub fn has_failed(&self) -> bool {
         let order = self.order.as_ref().map(|order| order.revision);
--- a/crates/edge/src/rollout/writer.rs
+++ b/crates/edge/src/rollout/writer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::future::select;
-use heatherknot_store::port::{Compare, Op, Txn};
+use heatherknot_store::port::{Compare, Op, StoreRevision, Txn};
 use heatherknot_types::prelude::*;
 use log::{info, warn};
 
@@ -51,7 +51,19 @@
         vms: &presence::live_vms(cx),
         unix_ms: since_epoch.unwrap_or_default().as_millis() as u64,
     };
-    controller.proposals(&cx.rollouts, &view)
+    let mut proposals = controller.proposals(&cx.rollouts, &view);
+    let mirror = cx.feed.mirror();
+    let revision_of = |key: &str| mirror.revision_of(key).unwrap_or(StoreRevision::ZERO);
+    for proposal in &mut proposals {
+        // An order that was written again keeps its first revision in the rollout.
+        proposal.order_revision = revision_of(&order_key(cx, &proposal.service));
+        proposal.record_revision = revision_of(&RolloutRecord::key(&proposal.service));
+    }
+    proposals
+}
+
+fn order_key(cx: &EdgeContext, service: &ServiceName) -> String {
+    format!("{}{service}", cx.dialect.keys.rollout_prefix)
 }
 
 /// Writes a record and the operators' status. Returns how long the store took to answer.
@@ -106,12 +118,11 @@
 
 fn transaction(cx: &EdgeContext, proposal: &Proposal, values: &[(String, Bytes)]) -> Txn {
     let service = &proposal.service;
-    let order_key = format!("{}{service}", cx.dialect.keys.rollout_prefix);
     let puts = values.iter();
     let puts = puts.map(|(key, value)| Op::put(key.clone(), value.clone()));
     Txn {
         compares: vec![
-            Compare::unchanged(order_key, proposal.order_revision),
+            Compare::unchanged(order_key(cx, service), proposal.order_revision),
             Compare::unchanged(RolloutRecord::key(service), proposal.record_revision),
         ],
         success: puts.collect(),
--- a/crates/edge/tests/store_eras.rs
+++ b/crates/edge/tests/store_eras.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use heatherknot_edge::feed::Feed;
 use heatherknot_edge::mirror::{Change, Mirror};
+use heatherknot_edge::rollout::record::{RolloutRecord, Stage};
 use heatherknot_edge::routing_state::RoutingState;
 use heatherknot_store::port::{StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
@@ -19,6 +20,8 @@
 const CATALOG: &str = "catalog";
 const SERVER: &str = "server/a";
 const EVACUATION: &str = "evacuated/north-1";
+const ORDER: &str = "rollout/gallery";
+const RECORD: &str = "hk/rollout/gallery";
 /// Revision of the VM's copy in era 1, and the one to which the store returns in era 2.
 const BEFORE: u64 = 50;
 const RESTORED: u64 = 40;
@@ -312,3 +315,86 @@
     other.end_wait();
     assert_eq!(other.servers(), 0);
 }
+
+/// Returns the change that writes a record of the rollout ordered at revision `order`.
+fn record(order: StoreRevision, stage: Stage, number: u64) -> Change {
+    let record = RolloutRecord {
+        order: order.number,
+        order_era: order.era.0,
+        target: "v2".into(),
+        stage,
+        started_unix_ms: 0,
+        time_limit: Millis(30_000),
+        rolled_back: Vec::new(),
+        by: "vm-1".into(),
+        cause: String::new(),
+    };
+    let value = serde_json::to_vec(&record).expect("a record serializes");
+    put(RECORD, value, number)
+}
+
+impl Vm {
+    /// Returns the stage of the present order, if it has a record.
+    fn stage(&self) -> Option<Stage> {
+        let state = self.state.borrow();
+        let versions = state.versions().get(&"gallery".into())?;
+        Some(versions.current_record()?.record.stage)
+    }
+}
+
+/// Guards against beginning a rollout anew because its order has another revision.
+#[test]
+fn a_rollout_goes_on_when_its_order_is_written_again() {
+    let vm = vm(&[put(ORDER, "v2 30000", 45)]);
+    vm.watch(1, record(revision(1, 45), Stage::Shift, 51));
+    vm.restore(2, &[]);
+    vm.watch(2, put(ORDER, "v2 30000", 42));
+    assert_eq!(vm.stage(), Some(Stage::Shift));
+    vm.watch(2, record(revision(1, 45), Stage::Completed, 43));
+    assert_eq!(vm.stage(), Some(Stage::Completed));
+}
+
+/// Guards against a VM that starts after the loss and knows only the order's later revision.
+#[test]
+fn a_vm_that_starts_after_the_loss_recognizes_the_order_of_a_record() {
+    let vm = vm(&[]);
+    vm.restore(2, &[]);
+    vm.watch(2, record(revision(1, 45), Stage::Completed, 43));
+    vm.watch(2, put(ORDER, "v2 30000", 44));
+    assert_eq!(vm.stage(), Some(Stage::Completed));
+}
+
+/// Guards against taking another order, or one after a withdrawal, for the order of a record.
+#[test]
+fn a_new_order_after_the_loss_begins_a_rollout() {
+    let vm = vm(&[put(ORDER, "v2 30000", 45)]);
+    vm.restore(2, &[]);
+    vm.watch(2, record(revision(1, 45), Stage::Withdrawn, 43));
+    vm.watch(2, put(ORDER, "v2 30000", 44));
+    assert_eq!(
+        vm.stage(),
+        Some(Stage::Withdrawn),
+        "it is still the held order"
+    );
+    vm.watch(2, delete(ORDER, 45));
+    vm.watch(2, put(ORDER, "v2 30000", 46));
+    assert_eq!(vm.stage(), None);
+    vm.watch(2, put(ORDER, "v3 30000", 47));
+    assert_eq!(vm.stage(), None);
+}
+
+/// Guards against going back to an earlier stage that the copy shows, and against leaving it there.
+#[test]
+fn an_earlier_stage_of_the_copy_has_no_effect_and_is_to_be_replaced() {
+    let order = put(ORDER, "v2 30000", 20);
+    let vm = vm(&[order.clone(), record(revision(1, 20), Stage::Canary, 30)]);
+    vm.watch(1, record(revision(1, 20), Stage::Completed, 51));
+    vm.restore(2, &[order, record(revision(1, 20), Stage::Canary, 30)]);
+    assert_eq!(vm.stage(), Some(Stage::Completed));
+    let lost = vm.feed.mirror().lost_in_store("hk/");
+    let revisions: Vec<_> = lost
+        .iter()
+        .map(|(key, _, at)| (key.as_str(), *at))
+        .collect();
+    assert_eq!(revisions, [(RECORD, revision(2, 30))]);
+}
