Wait with a peer for lost keys after a start, and show the store's era

A VM that starts while its peers wait for lost keys got them with its first copy and, not having seen the loss, dropped them at once: an evacuation that the operator was about to write again would have ended there for a second or two. It now waits as long as a VM that saw the loss. The new test fails without that.

The era of each VM's copy and the number of lost keys are gauges, and the feed's handling of eras is a module of its own.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -501,6 +501,7 @@
             backpressure::update_metrics(&cx, &routing_state);
             let version = routing_state.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
+            lost_records::update_metrics(&cx);
         }
     }
 }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -5,20 +5,22 @@
 //! revisions order all changes, so it does not matter which source delivers them. A VM whose
 //! copy is stale watches the store itself, and a VM that the store rejects asks any peer.
 
+mod eras;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use futures_util::StreamExt;
 use heatherknot_http::Flag;
 use heatherknot_store::backoff::Backoff;
-use heatherknot_store::error::{Cause, Effect, Step, StoreError};
+use heatherknot_store::error::{Cause, StoreError};
 use heatherknot_store::port::{
     Event, RangeRequest, Store, StoreRevision, WatchMessage, WatchRequest, WatchStream,
 };
 use heatherknot_types::prelude::*;
 use log::{info, warn};
 
-use crate::mirror::{Change, Mirror, UnconfirmedKeys, VersionedValue};
+use crate::mirror::{Change, Mirror, VersionedValue};
 use crate::routing_state::RoutingState;
 
 /// Interval at which a VM checks whether it should watch the store.
@@ -352,17 +354,7 @@
         let held = self.mirror.borrow().revision();
         info!(held:% = held, at:% = found.revision, keys = found.kvs.len(), took_ms = took.0;
             "all keys read from the store");
-        if found.revision.era < held.era {
-            return Err(StoreError {
-                step: Step::Range,
-                peer: self.store.peer,
-                effect: Effect::NotApplied,
-                source: Cause::EraChanged {
-                    expected: held.era,
-                    found: found.revision.era,
-                },
-            });
-        }
+        self.require_present_era(found.revision)?;
         let listed = found.kvs.into_iter().map(Change::from).collect();
         self.record_store_answer();
         self.apply_snapshot(listed, found.revision, self.is_settled());
@@ -394,53 +386,6 @@
         self.notify_of_era(enters_era);
     }
 
-    /// Waits for lost keys to be written again, if `at` is the first revision here of a new era.
-    /// Returns whether it is.
-    fn record_era(&self, at: StoreRevision) -> bool {
-        let mirror = self.mirror.borrow();
-        let is_new = mirror.is_new_era(at);
-        if is_new {
-            info!(held:% = mirror.revision(), at:% = at, wait_ms = self.settle_time.0;
-                "the local copy enters a new era of the store; waiting for lost keys to be written again");
-            self.confirm_until.set(self.timer.now() + self.settle_time);
-        }
-        is_new
-    }
-
-    /// Answers peers that wait for a change, because they have to enter the new era, too.
-    fn notify_of_era(&self, is_new: bool) {
-        if is_new {
-            self.next_change.take().fire();
-        }
-    }
-
-    /// Returns whether keys that the store has lost may still be written again.
-    pub fn is_confirming(&self) -> bool {
-        self.timer.now() < self.confirm_until.get()
-    }
-
-    /// Ends the wait for lost keys, because a peer has ended it.
-    pub fn stop_confirming(&self) {
-        self.confirm_until.set(Millis(0));
-        self.accept_unconfirmed();
-    }
-
-    /// Takes over that the store has lost keys which were not written again in time.
-    pub fn accept_unconfirmed(&self) {
-        if self.is_confirming() || !self.is_fresh() || self.mirror.borrow().unconfirmed().is_empty()
-        {
-            return;
-        }
-        let changes = self.mirror.borrow_mut().accept_unconfirmed();
-        info!(keys = changes.len(), first = changes[0].key.as_str(); "keys that the store has lost were not written again");
-        self.publish_changes(&changes, true);
-    }
-
-    /// Adds the keys that a peer waits for.
-    pub fn extend_unconfirmed(&self, keys: UnconfirmedKeys) {
-        self.mirror.borrow_mut().extend_unconfirmed(keys);
-    }
-
     fn publish_changes(&self, changes: &[Change], settled: bool) {
         let relevant: Vec<&Change> = {
             let routing_state = self.routing_state.borrow();
--- a/crates/edge/src/lost_records.rs
+++ b/crates/edge/src/lost_records.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// Updates the gauges of the store's era and of lost keys.
+pub(crate) fn update_metrics(cx: &EdgeContext) {
+    let mirror = cx.feed.mirror();
+    let keys = mirror.unconfirmed();
+    let unconfirmed = keys.missing.len() + keys.returned.len();
+    cx.metrics
+        .store_copy
+        .era
+        .set(mirror.revision().era.0 as i64);
+    cx.metrics
+        .store_copy
+        .unconfirmed_keys
+        .set(unconfirmed as i64);
+}
+
 /// Returns the position of this VM among the watchers of the store.
 fn turn(cx: &EdgeContext) -> Option<u64> {
     let topology = cx.feed_topology.borrow();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -80,6 +80,30 @@
     }
 }
 
+/// Metrics of a VM's copy of the store's keys.
+pub struct StoreCopyMetrics {
+    /// Era of the store.
+    pub era: IntGauge,
+    /// Keys that the store has lost and that may still be written again.
+    pub unconfirmed_keys: IntGauge,
+}
+
+impl StoreCopyMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let gauge = |name: &str, help: &str| register_gauge(registry, name, help);
+        Ok(Self {
+            era: gauge(
+                "heatherknot_store_era",
+                "Era of the store in the local copy of its keys",
+            )?,
+            unconfirmed_keys: gauge(
+                "heatherknot_unconfirmed_keys",
+                "Keys that the store has lost and that may still be written again",
+            )?,
+        })
+    }
+}
+
 /// Metrics of a daemon. Label values are service names, and outcomes and causes from the code,
 /// never anything that a caller sends.
 pub struct EdgeMetrics {
@@ -115,6 +139,8 @@
     pub lookups: IntCounter,
     /// Version of the configuration in force.
     pub catalog_version: IntGauge,
+    /// Metrics of the local copy of the store's keys.
+    pub store_copy: StoreCopyMetrics,
     /// Number of known VMs that are alive.
     pub vms: IntGauge,
 }
@@ -129,11 +155,7 @@
         let counters = |name: &str, help: &str, labels: &[&str]| {
             register_counters(registry, name, help, labels)
         };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let gauge = |name: &str, help: &str| register_gauge(registry, name, help);
         Ok(Self {
             requests: counters(
                 "heatherknot_requests_total",
@@ -179,11 +201,22 @@
             )?,
             lookups: register_lookups(registry)?,
             catalog_version: gauge("heatherknot_config_version", "Configuration in force")?,
+            store_copy: StoreCopyMetrics::register(registry)?,
             vms: gauge("heatherknot_vms", "Known VMs that are alive")?,
         })
     }
 }
 
+fn register_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 fn register_counters(
     registry: &Registry,
     name: &str,
--- a/crates/edge/tests/store_eras.rs
+++ b/crates/edge/tests/store_eras.rs
@@ -316,6 +316,29 @@
     assert_eq!(other.servers(), 0);
 }
 
+/// Guards against a VM that starts after the loss and does not wait for keys that its peer knows.
+#[test]
+fn a_vm_that_starts_after_the_loss_waits_with_its_peer() {
+    let one = vm(&[put(EVACUATION, "", 48)]);
+    one.restore(2, &[]);
+    let clock = TestClock::default();
+    let (feed, state) = feed(&clock);
+    let started = Vm { clock, feed, state };
+    started.hear();
+    let copy = one.feed.mirror().snapshot();
+
+    started
+        .feed
+        .apply_snapshot(copy, revision(2, RESTORED), false);
+    let unconfirmed = one.feed.mirror().unconfirmed().clone();
+    started.feed.extend_unconfirmed(unconfirmed);
+    started.feed.accept_unconfirmed();
+
+    assert!(started.is_evacuated());
+    started.end_wait();
+    assert!(!started.is_evacuated());
+}
+
 /// Returns the change that writes a record of the rollout ordered at revision `order`.
 fn record(order: StoreRevision, stage: Stage, number: u64) -> Change {
     let record = RolloutRecord {
