--- a/crates/edge/src/feed/eras.rs
+++ b/crates/edge/src/feed/eras.rs
@@ -22,7 +22,7 @@
         is_new
     }
 
-    /// Answers peers that wait for a change, because they have to enter the new era, too.
+    /// Answers peers whose requests are held back, because they have to enter the new era, too.
     pub(super) fn notify_of_era(&self, is_new: bool) {
         if is_new {
             self.next_change.take().fire();
@@ -40,7 +40,7 @@
         self.accept_unconfirmed();
     }
 
-    /// Takes over that the store has lost keys which were not written again in time.
+    /// Adopts the store's state of lost keys, unless they may still be written again.
     pub fn accept_unconfirmed(&self) {
         if self.is_confirming() || !self.is_fresh() || self.mirror.borrow().unconfirmed().is_empty()
         {
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Returns whether the second value of a key is from an earlier time than the first one, by what the
-/// values say themselves.
+/// Returns whether the second value of a key is from an earlier time than the first one, judged by the
+/// values alone.
 pub type IsOutdated = Rc<dyn Fn(&str, &Bytes, &Bytes) -> bool>;
 
 /// A change of one key.
@@ -290,8 +290,8 @@
         changed
     }
 
-    /// Returns the highest number of a listed key that has not changed since. What was created up to
-    /// there was not lost.
+    /// Returns the highest number of a listed key that has not changed. The copy to which the store has
+    /// returned contains everything up to there.
     fn newest_unchanged(&self, listed: &[Change]) -> u64 {
         let is_unchanged = |change: &&Change| {
             let held = self.keys.get(&change.key).map(|entry| &entry.current);
@@ -352,7 +352,7 @@
         self.unconfirmed.returned.extend(returned);
     }
 
-    /// Takes the store's state of all unconfirmed keys; returns the resulting changes.
+    /// Adopts the store's state of all unconfirmed keys; returns the resulting changes.
     pub fn accept_unconfirmed(&mut self) -> Vec<Change> {
         let keys = std::mem::take(&mut self.unconfirmed);
         let at = self.revision;
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -136,6 +136,7 @@
     });
 }
 
+/// Returns the changes after a revision. Waits up to [`MAX_HOLD`] for one if there is none.
 async fn answer(
     feed: Rc<Feed>,
     timer: Timer,
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    /// Returns whether `value` of a key is from an earlier time than `held`, by what it says itself. A
+    /// Returns whether `value` of a key is from an earlier time than `held`, judged by the values. A
     /// store that has lost its latest changes returns such values in newer revisions.
     pub fn is_outdated(&self, key: &str, held: &Bytes, value: &Bytes) -> bool {
         let keys = &self.dialect.keys;
