Wait for lost keys until what was written again has reached every VM

Writers have two seconds after the store's return, and a watch is read twice a second, so a key that was written again just in time was taken for gone 2.2 s after the return. The wait is now longer by the interval of the watch and the hops between VMs.

--- a/crates/edge/src/feed/eras.rs
+++ b/crates/edge/src/feed/eras.rs
@@ -8,6 +8,10 @@
 use super::Feed;
 use crate::mirror::UnconfirmedKeys;
 
+/// How much longer than the writers need a VM waits for lost keys: the interval between two reads of
+/// the watch, and the hops between VMs.
+const PROPAGATION_TIME: Millis = Millis(800);
+
 impl Feed {
     /// Waits for lost keys to be written again, if `at` is the first revision here of a new era.
     /// Returns whether it is.
@@ -15,9 +19,10 @@
         let mirror = self.mirror.borrow();
         let is_new = mirror.is_new_era(at);
         if is_new {
-            info!(held:% = mirror.revision(), at:% = at, wait_ms = self.settle_time.0;
+            let wait = self.settle_time + PROPAGATION_TIME;
+            info!(held:% = mirror.revision(), at:% = at, wait_ms = wait.0;
                 "the local copy enters a new era of the store; waiting for lost keys to be written again");
-            self.confirm_until.set(self.timer.now() + self.settle_time);
+            self.confirm_until.set(self.timer.now() + wait);
         }
         is_new
     }
@@ -58,7 +63,8 @@
             return;
         }
         if !self.is_confirming() {
-            self.confirm_until.set(self.timer.now() + self.settle_time);
+            let wait = self.settle_time + PROPAGATION_TIME;
+            self.confirm_until.set(self.timer.now() + wait);
         }
         self.mirror.borrow_mut().extend_unconfirmed(keys);
     }
