--- a/crates/edge/tests/store_eras.rs
+++ b/crates/edge/tests/store_eras.rs
@@ -15,7 +15,7 @@
 use heatherknot_edge::routing_state::RoutingState;
 use heatherknot_store::port::{StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
-use support::{SETTLE_TIME, TestClock, delete, entry, feed, in_era, put};
+use support::{SETTLE_TIME, TestClock, delete, entry, entry_of_run, feed, in_era, put};
 
 const CATALOG: &str = "catalog";
 const SERVER: &str = "server/a";
@@ -192,6 +192,30 @@
     assert_eq!(vm.servers(), 0);
 }
 
+/// Guards against sending a service's requests to the former owner of an address that a server of
+/// another service has now.
+#[test]
+fn the_former_owner_of_an_address_does_not_return() {
+    let vm = vm(&[ready(30)]);
+    vm.watch(1, delete(SERVER, 51));
+    vm.watch(1, put("server/b", "studio north-1 ready 0 1", 52));
+    vm.restore(2, &[ready(30)]);
+    let state = vm.state.borrow();
+    assert_eq!(state.upstreams(&"gallery".into()).len(), 0);
+    assert_eq!(state.upstreams(&"studio".into()).len(), 1);
+}
+
+/// Guards against going back to an earlier run of a server that started again before the loss.
+#[test]
+fn an_earlier_run_of_a_server_does_not_return() {
+    let vm = vm(&[put(SERVER, entry_of_run(1_000, "ready", 0), 30)]);
+    vm.watch(1, put(SERVER, entry_of_run(2_000, "ready", 0), 51));
+    vm.restore(2, &[put(SERVER, entry_of_run(1_000, "ready", 0), 30)]);
+    let state = vm.state.borrow();
+    let upstream = state.upstream(&"a".into()).expect("the server is known");
+    assert_eq!(upstream.started_at, Some(Millis(2_000)));
+}
+
 /// Guards against never using a server again whose entry had expired before the loss.
 #[test]
 fn a_returned_server_is_used_once_its_entry_was_not_removed_again() {
