Add the switch for load control, by contract, setting or stated machine speed

The decisions under load that follow apply only to deployments that call for them: by a contract of the deployment, by the setting load_control, or because a backend server states the speed of its machine. Nothing reads it yet.

--- /dev/null
+++ b/crates/edge/src/admission/mod.rs
@@ -0,0 +1,4 @@
+//! Decides which requests get the slots of backend servers when there are too few for all.
+
+pub mod returns;
+pub mod urgency;
--- /dev/null
+++ b/crates/edge/src/admission/returns.rs
@@ -0,0 +1,1 @@
+//! Reserves times at which refused callers are to return.
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -17,6 +17,7 @@
 use crate::feed::Feed;
 use crate::feed_topology::FeedTopology;
 use crate::homes::HomeDirectory;
+use crate::load_control::LoadControl;
 use crate::locality::RouteLocality;
 use crate::log_limit::LogRateLimit;
 use crate::metrics::EdgeMetrics;
@@ -50,6 +51,8 @@
     pub bounds: Bounds,
     /// Which decision mechanisms are on.
     pub switches: Switches,
+    /// Whether load control is on.
+    pub load_control: LoadControl,
     /// Names and formats of the platform.
     pub dialect: Dialect,
     /// This VM's region.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::dialect::Dialect;
 use crate::feed::Feed;
 use crate::homes::HomeDirectory;
+use crate::load_control::LoadControl;
 use crate::metrics::EdgeMetrics;
 use crate::poison::PoisonDetector;
 use crate::poison::status::{REJECTED_PATH, RELEASE_PATH, RELEASE_PURPOSE};
@@ -113,6 +114,8 @@
     pub dialect: Dialect,
     /// Client of the platform's store.
     pub store: Store,
+    /// Whether the deployment's contracts require load control.
+    pub requires_load_control: bool,
 }
 
 /// Runs a daemon until `shutdown` completes, and then shuts it down as planned.
@@ -180,7 +183,12 @@
 }
 
 fn make_context(cfg: EdgeConfig, platform: Platform) -> Result<Rc<EdgeContext>, StartError> {
-    let Platform { dialect, store } = platform;
+    let Platform {
+        dialect,
+        store,
+        requires_load_control,
+    } = platform;
+    let load_control = LoadControl::new(cfg.load_control, requires_load_control);
     let bounds = Bounds::from(&cfg.bounds);
     let timer = Timer::system();
     let routing_state = make_routing_state(&cfg, &dialect, &timer);
@@ -202,6 +210,7 @@
         started: timer.now(),
         timer,
         rng: RefCell::new(rng),
+        load_control,
         routing_state,
         feed,
         store,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`forward`] answers requests and [`lookup`] answers lookups.
 
 pub mod accounts;
+pub mod admission;
 mod attempt;
 pub mod backpressure;
 pub mod budget;
@@ -24,6 +25,7 @@
 pub mod hand_over;
 pub mod homes;
 pub mod identify;
+pub mod load_control;
 pub mod locality;
 mod locality_update;
 pub mod log_limit;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use heatherknot_types::prelude::*;
 use serde::Deserialize;
@@ -46,6 +47,12 @@
     /// Decision mechanisms that are switched off, to measure their effect.
     #[serde(default)]
     pub off: Vec<Mechanism>,
+    /// Contracts that the deployment states, by the platform's names for them.
+    #[serde(default)]
+    pub contracts: Vec<Arc<str>>,
+    /// Whether load control is on. If it is missing, the contracts and the backend servers decide.
+    #[serde(default)]
+    pub load_control: Option<bool>,
     /// Bounds that the deployment states.
     #[serde(default)]
     pub bounds: BoundsConfig,
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -48,6 +48,18 @@
     Poison,
     /// Request limits that backend servers state are enforced.
     RequestLimits,
+    /// The speed that a backend server states of its machine is taken into account.
+    MachineSpeed,
+    /// Service times are kept by route.
+    RouteTimes,
+    /// Whether a backend server has an object cached is learned from its responses.
+    CacheKnowledge,
+    /// Requests compete for the slots of busy servers by priority and client account.
+    Admission,
+    /// Refused callers get a reserved time to return.
+    Returns,
+    /// A home VM accepts requests routed by another configuration that agrees on their route.
+    RouteAgreement,
 }
 
 /// The set of mechanisms that are switched on.
