--- a/crates/edge/examples/choice_bench.rs
+++ b/crates/edge/examples/choice_bench.rs
@@ -71,6 +71,7 @@
         assigned: None,
         is_home: &|_| false,
         placement: None,
+        work: None,
     };
     println!("microseconds per selection: minimum, median, maximum of {ROUNDS} rounds");
     for count in [100, 1_000, 10_000] {
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -12,8 +12,10 @@
 
 use crate::backpressure;
 use crate::call::Call;
+use crate::call_selection;
 use crate::context::EdgeContext;
 use crate::hand_over;
+use crate::machine_speed;
 use crate::reachability;
 use crate::reachability::diagnosis::{self, Diagnosis};
 use crate::request_limit;
@@ -22,6 +24,7 @@
 use crate::selection::Candidate;
 use crate::switches::Mechanism;
 use crate::upstream::{InFlightGuard, ServerLoad};
+use crate::work_profile::FinishedRun;
 
 /// Longest response body, in bytes, that is read completely before the caller gets its first byte.
 /// If a short response breaks off, another server can then still answer the request.
@@ -73,6 +76,14 @@
         }
     }
 
+    /// Returns whether the server has certainly not run the request.
+    fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            SendOutcome::NotRun(_) | SendOutcome::NotSent(_) | SendOutcome::Withheld(_)
+        )
+    }
+
     /// Returns what the outcome says about the version of the server.
     fn as_evidence(&self) -> SendResult {
         match self {
@@ -114,6 +125,9 @@
     ) {
         record_unanswered(cx, call, candidate, sent);
     }
+    if outcome.is_not_run() && !candidate.knows_object && call_selection::knows_work(cx) {
+        candidate.upstream.forget_object(call.object);
+    }
     if let Some(observed) = observed {
         record_evidence(cx, call, candidate, observed, &outcome);
     }
@@ -171,12 +185,15 @@
 fn record_unanswered(cx: &EdgeContext, call: &Call, candidate: &Candidate, sent: Millis) {
     let upstream = &candidate.upstream;
     let now = cx.now();
-    let is_cached = upstream.likely_caches(call.object, now);
+    let knows_work = call_selection::knows_work(cx);
+    let is_cached = match knows_work {
+        true => candidate.knows_object,
+        false => upstream.likely_caches(call.object, now),
+    };
     let waited = now.since(sent);
-    let slowness = call
-        .state
-        .service_times
-        .slowness(&upstream.region, is_cached, waited);
+    let slowness = call_selection::with_service_times(cx, call, |times| {
+        times.slowness(&upstream.region, is_cached, waited)
+    });
     let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FACTOR) else {
         return;
     };
@@ -204,6 +221,10 @@
     request_limit::record::record_send(cx, upstream);
     backpressure::record_send(cx, upstream);
     let in_flight = upstream.start_request();
+    // A server answers further requests for an object quickly as soon as it works on the first one.
+    if call_selection::knows_work(cx) {
+        upstream.record_object(call.object, sent);
+    }
     let options = SendOptions {
         deadline: Some(call.deadline),
         idempotent: call.route.idempotent,
@@ -365,17 +386,21 @@
     sent: Millis,
 ) {
     let value = headers.get(&cx.dialect.headers.server_load);
-    let load = value.and_then(|v| ServerLoad::parse(v.to_str().ok()?));
-    if let Some(load) = load {
+    let text = value.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    if let Some(factor) = machine_speed::parse_factor(text) {
+        cx.load_control.record_stated_speed();
+        candidate.upstream.machine.record(factor, cx.now());
+    }
+    if let Some(load) = ServerLoad::parse(text) {
         let now = cx.now();
         let others = candidate.upstream.record_load(load, now);
         call.state.service_times.record_other_load(others, now);
-        let is_local = candidate.upstream.region == cx.region;
-        if cx.route(&call.route.name).may_spill_over(cx.switches) {
-            call.state
-                .spillover
-                .record(is_local, load, now.since(sent), now);
+        if call_selection::knows_work(cx) {
+            let times = call.state.work.times(&call.route.name);
+            times.record_other_load(others, now);
         }
+        let is_local = candidate.upstream.region == cx.region;
+        call_selection::record_wait(cx, call, is_local, load, now.since(sent));
     }
 }
 
@@ -438,6 +463,13 @@
 fn record_latency(cx: &EdgeContext, call: &Call, candidate: &Candidate, took: Millis) {
     let upstream = &candidate.upstream;
     let now = cx.now();
+    if call_selection::knows_work(cx) {
+        let slowness = candidate
+            .has_free_slot
+            .then(|| record_run(cx, call, candidate, took));
+        upstream.record_success(call.object, slowness.flatten(), now);
+        return;
+    }
     let is_cached = upstream.likely_caches(call.object, now);
     let slowness = candidate.has_free_slot.then(|| {
         let slowness = call
@@ -451,3 +483,20 @@
     });
     upstream.record_success(call.object, slowness.flatten(), now);
 }
+
+/// Records the time of a run in the service's work profile. Returns its time relative to the typical
+/// one, if that is known.
+fn record_run(cx: &EdgeContext, call: &Call, candidate: &Candidate, took: Millis) -> Option<f64> {
+    let upstream = &candidate.upstream;
+    let factor = match cx.switches.is_on(Mechanism::MachineSpeed) {
+        true => upstream.machine.last_stated(),
+        false => 1.0,
+    };
+    let run = FinishedRun {
+        region: &upstream.region,
+        knew_object: candidate.knows_object,
+        took: Millis((took.0 as f64 / factor) as u64),
+        latency_target: call.route.latency_target,
+    };
+    call.state.work.record(&call.route.name, &run)
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -41,6 +41,7 @@
 use crate::unrestricted_share::UnrestrictedShares;
 use crate::upstream::IDLE_TIMEOUT;
 use crate::window::SlidingWindow;
+use crate::work_profile::WorkProfile;
 
 /// State shared by all tasks of one daemon. All tasks run on one thread; no borrow is held across
 /// an `await`.
@@ -133,6 +134,8 @@
 pub struct ServiceState {
     /// Latency statistics of its backend servers.
     pub service_times: ServiceTimes,
+    /// How long its requests occupy a slot, by route.
+    pub work: WorkProfile,
     /// Retry budget.
     pub budget: RefCell<RetryBudget>,
     /// Requests from callers to this VM, within the idle timeout of connections to backend servers.
@@ -167,6 +170,7 @@
         let state = services.entry(name.clone()).or_insert_with(|| {
             Rc::new(ServiceState {
                 service_times: ServiceTimes::default(),
+                work: WorkProfile::default(),
                 budget: RefCell::new(RetryBudget::new(&self.bounds, self.started)),
                 recent_requests: RefCell::new(SlidingWindow::new(IDLE_TIMEOUT)),
                 spillover: Spillover::default(),
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -355,12 +355,7 @@
     let value = response.headers.get(&cx.dialect.headers.server_load);
     if let Some(load) = value.and_then(|v| ServerLoad::parse(v.to_str().ok()?)) {
         let is_local = to.region == cx.region;
-        let now = cx.now();
-        if cx.route(&call.route.name).may_spill_over(cx.switches) {
-            call.state
-                .spillover
-                .record(is_local, load, now.since(began), now);
-        }
+        call_selection::record_wait(cx, call, is_local, load, cx.now().since(began));
     }
     if let Some(bytes) = response
         .body
--- a/crates/edge/src/locality_update.rs
+++ b/crates/edge/src/locality_update.rs
@@ -54,6 +54,9 @@
     }
     let mut routes = cx.routes.borrow_mut();
     routes.retain(|name, _| catalog.has_route(name));
+    for state in cx.services.borrow().values() {
+        state.work.retain_routes(|name| catalog.has_route(name));
+    }
 }
 
 /// Logs to which regions requests for a service were sent, and its spillover threshold.
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -74,6 +74,11 @@
         Rc::clone(chosen)
     }
 
+    /// Assigns an object to a server, wherever it was placed before.
+    pub fn assign(&self, object: u64, server: &UpstreamName, now: Millis) {
+        self.place(object, server, now);
+    }
+
     fn existing(
         &self,
         object: u64,
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -14,6 +14,7 @@
 use crate::service_times::ServiceTimes;
 use crate::switches::{Mechanism, Switches};
 use crate::upstream::Upstream;
+use crate::work_profile::WorkEstimate;
 
 /// Cost of a server's failures, as a multiple of its service time at a failure rate of 1. A failed
 /// request is retried or lost, so a server that fails every request counts as four times as slow.
@@ -73,6 +74,8 @@
     pub is_home: &'a dyn Fn(&Upstream) -> bool,
     /// Placement of objects by the home VM, if all requests for them pass through it.
     pub placement: Option<&'a ObjectPlacement>,
+    /// What is known of the work of the service's requests, if load control is on.
+    pub work: Option<WorkEstimate>,
 }
 
 /// A server that may receive the request, with the estimates that the selection is based on.
@@ -82,6 +85,8 @@
     pub upstream: Rc<Upstream>,
     /// Whether the server is assumed to have the object cached.
     pub is_warm: bool,
+    /// Whether this VM has recently sent the object there.
+    pub knows_object: bool,
     /// Whether the server is expected to have a free slot.
     pub has_free_slot: bool,
     /// Expected response time without queueing, in milliseconds.
@@ -200,6 +205,9 @@
         |p: &Candidate| p.cost_ms < first.cost_ms || (may_copy && (params.is_home)(&p.upstream));
     let mut free_others = others.filter(|p| p.has_free_slot);
     let alternative = free_others.find(is_better);
+    if let (Some(alternative), false, Some(_)) = (&alternative, first.is_warm, params.work) {
+        place_uncached(params, alternative);
+    }
     Some(alternative.unwrap_or(first))
 }
 
@@ -220,6 +228,16 @@
     }
 }
 
+/// Assigns an object that no server has cached to the free server that gets its first request, if
+/// this VM is that server's home.
+fn place_uncached(params: &SelectionParams<'_>, chosen: &Candidate) {
+    if let Some(placement) = params.placement
+        && (params.is_home)(&chosen.upstream)
+    {
+        placement.assign(params.object, &chosen.upstream.id, params.now);
+    }
+}
+
 /// Returns whether the servers whose home this VM is have capacity for copies of objects.
 ///
 /// Some servers rank first for three or four objects and others for none. Requests that such a
@@ -291,6 +309,29 @@
     -hash::unit_interval(digest).ln() / (f64::from(upstream.slots.get()) * share)
 }
 
+/// Returns the probability that a server has the object cached.
+///
+/// Without load control, the server to which the object is assigned counts as having it cached. A
+/// home VM has seen all requests for the object, so with load control it goes by those and, for
+/// other objects, by how first requests turned out lately.
+fn hit_rate(
+    params: &SelectionParams<'_>,
+    upstream: &Upstream,
+    is_target: bool,
+    knows_object: bool,
+) -> f64 {
+    if !params.sticky {
+        return 0.0;
+    }
+    if knows_object {
+        return 1.0;
+    }
+    match params.work {
+        Some(work) if is_target && (params.is_home)(upstream) => work.first_hit_rate,
+        _ => f64::from(u8::from(is_target)),
+    }
+}
+
 /// Estimates the response time and the cost of a server. `is_target` says whether the object is
 /// assigned to the server, which is then assumed to have it cached.
 fn estimate(
@@ -299,12 +340,16 @@
     is_target: bool,
     service_times: &ServiceTimes,
 ) -> Candidate {
-    let is_warm = params.sticky && (is_target || upstream.likely_caches(params.object, params.now));
+    let knows_object = upstream.likely_caches(params.object, params.now);
+    let hit_rate = hit_rate(params, upstream, is_target, knows_object);
+    let is_warm = hit_rate >= 0.5;
     let target = params.latency_target.0 as f64;
     let warm_ms = service_times.expected_ms(&upstream.region, true, target * DEFAULT_WARM_FRACTION);
-    let expected_ms = match is_warm {
-        true => warm_ms,
-        false => service_times.expected_ms(&upstream.region, false, target * DEFAULT_COLD_FRACTION),
+    let cold_ms =
+        || service_times.expected_ms(&upstream.region, false, target * DEFAULT_COLD_FRACTION);
+    let expected_ms = match hit_rate {
+        1.0 => warm_ms,
+        _ => hit_rate * warm_ms + (1.0 - hit_rate) * cold_ms(),
     };
     let slots = f64::from(upstream.slots.get());
     let is_on = |mechanism| params.switches.is_on(mechanism);
@@ -324,12 +369,19 @@
         true => MISS_WEIGHT,
         false => 1.0,
     };
+    let machine_factor = match params.work.is_some() && is_on(Mechanism::MachineSpeed) {
+        true => upstream.machine.factor(params.now),
+        false => 1.0,
+    };
+    let slowness = slowness * machine_factor;
+    let slot_ms = params.work.and_then(|work| work.slot_ms).unwrap_or(warm_ms);
     let excess = load + 1.0 - slots - LOAD_TOLERANCE;
-    let wait_ms = excess.max(0.0) / slots * warm_ms * slowness;
+    let wait_ms = excess.max(0.0) / slots * slot_ms * slowness;
     let service_ms = expected_ms * slowness;
     let miss_ms = (expected_ms - warm_ms).max(0.0) * (miss_weight - 1.0);
     Candidate {
         is_warm,
+        knows_object,
         has_free_slot: excess <= 0.0,
         service_ms,
         response_ms: service_ms + wait_ms,
--- a/crates/edge/src/service_times.rs
+++ b/crates/edge/src/service_times.rs
@@ -70,6 +70,24 @@
         times.quantile(warm).add(took);
     }
 
+    /// Records that a request took `took`, which found its object cached or not.
+    pub fn record_run(&self, region: &RegionName, was_hit: bool, took: Millis) {
+        let took = took.0 as f64;
+        self.overall.quantile(was_hit).add(took);
+        let mut by_region = self.by_region.borrow_mut();
+        let times = by_region.entry(region.clone()).or_default();
+        times.quantile(was_hit).add(took);
+    }
+
+    /// Returns whether a response time is that of a cached object. Until the typical warm time is
+    /// known, it is if it is shorter than `default_limit_ms`.
+    pub fn looks_cached(&self, region: &RegionName, took: Millis, default_limit_ms: f64) -> bool {
+        let by_region = self.by_region.borrow();
+        let warm = by_region.get(region).and_then(|times| times.warm.get());
+        let limit = warm.map_or(default_limit_ms, |warm| warm * COLD_RATIO);
+        (took.0 as f64) < limit
+    }
+
     /// Records the number of requests of other VMs at a server.
     pub fn record_other_load(&self, other_load: f64, now: Millis) {
         self.other_load_at.set(now);
--- a/crates/edge/src/spillover.rs
+++ b/crates/edge/src/spillover.rs
@@ -117,12 +117,17 @@
             self.service_time.add(took.0 as f64);
         }
         let service_ms = self.service_time.get().unwrap_or(took.0 as f64);
+        self.record_wait(is_local, load.next_wait_ms(service_ms), now);
+    }
+
+    /// Records how long the next request would wait at a server, in milliseconds.
+    pub fn record_wait(&self, is_local: bool, wait_ms: f64, now: Millis) {
         let mean_wait = if is_local {
             &self.local_wait
         } else {
             &self.remote_wait
         };
-        mean_wait.add(load.next_wait_ms(service_ms), now);
+        mean_wait.add(wait_ms, now);
     }
 
     /// Returns the fraction of objects that other regions serve.
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -50,10 +50,9 @@
     RequestLimits,
     /// The speed that a backend server states of its machine is taken into account.
     MachineSpeed,
-    /// Service times are kept by route.
-    RouteTimes,
-    /// Whether a backend server has an object cached is learned from its responses.
-    CacheKnowledge,
+    /// Service times are kept by route, and whether a backend server has an object cached is learned
+    /// from its responses.
+    WorkProfile,
     /// Requests compete for the slots of busy servers by priority and client account.
     Admission,
     /// Refused callers get a reserved time to return.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -11,6 +11,7 @@
 use crate::backpressure::RunSignals;
 use crate::dialect::Dialect;
 use crate::ewma::{Ewma, decay};
+use crate::machine_speed::MachineSpeed;
 use crate::reachability::diagnosis::SharedDiagnosis;
 use crate::registration::Registration;
 use crate::request_limit::state::LimitState;
@@ -74,6 +75,8 @@
     pub request_limit: RefCell<Option<Box<LimitState>>>,
     /// What this run has asked of this VM.
     pub signals: Rc<RunSignals>,
+    /// How fast its machine is, as it states.
+    pub machine: MachineSpeed,
     /// Why the latest connection to it broke.
     pub(crate) diagnosis: RefCell<Option<SharedDiagnosis>>,
     in_flight: Cell<u32>,
@@ -169,6 +172,7 @@
             registered_at: clock.now(),
             request_limit: RefCell::default(),
             signals: Rc::default(),
+            machine: MachineSpeed::default(),
             diagnosis: RefCell::default(),
             in_flight: Cell::new(0),
             other_load: Ewma::default(),
@@ -295,6 +299,11 @@
         if let Some(slowness) = slowness {
             self.slowness.add(slowness.clamp(0.2, 20.0), QUALITY_WEIGHT);
         }
+        self.record_object(object, now);
+    }
+
+    /// Records that the server handles an object, which it has cached from then on.
+    pub fn record_object(&self, object: u64, now: Millis) {
         let mut recent_objects = self.recent_objects.borrow_mut();
         if recent_objects.len() >= MAX_TRACKED_OBJECTS && !recent_objects.contains_key(&object) {
             let oldest = recent_objects
@@ -306,6 +315,16 @@
         recent_objects.insert(object, now);
     }
 
+    /// Records that the server did not handle an object after all, or no longer has it cached.
+    pub fn forget_object(&self, object: u64) {
+        self.recent_objects.borrow_mut().remove(&object);
+    }
+
+    /// Records that the server has lost its cache.
+    pub fn forget_objects(&self) {
+        self.recent_objects.borrow_mut().clear();
+    }
+
     /// Records that the server sent a response of any kind.
     pub fn record_response(&self, now: Millis) {
         self.diagnosis.take();
--- a/crates/edge/tests/decisions.rs
+++ b/crates/edge/tests/decisions.rs
@@ -34,6 +34,7 @@
         assigned: None,
         is_home: &|_| false,
         placement: None,
+        work: None,
     }
 }
 
--- a/crates/edge/tests/load_patterns.rs
+++ b/crates/edge/tests/load_patterns.rs
@@ -253,6 +253,7 @@
         assigned: None,
         is_home: &|_| true,
         placement: None,
+        work: None,
     };
     let first = first_ranked(&params, &servers, Locality::Region).expect("there are servers");
     body(&servers, &params, &first)
--- a/crates/edge/tests/support/region_model.rs
+++ b/crates/edge/tests/support/region_model.rs
@@ -225,6 +225,7 @@
         route_locality: RouteLocality::default(),
         service_times: ServiceTimes::default(),
         placement: ObjectPlacement::default(),
+        work: None,
     };
     let mut model = Model {
         scenario,
@@ -345,6 +346,7 @@
             assigned: None,
             is_home,
             placement: None,
+            work: None,
         }
     }
 
@@ -387,6 +389,7 @@
         let params = SelectionParams {
             assigned: Some(&assigned.id),
             placement: Some(&state.placement),
+            work: None,
             ..self.params(request.object, &state.name, &domain, &is_home)
         };
         let best = select(
