--- a/crates/edge/tests/support/region_model.rs
+++ b/crates/edge/tests/support/region_model.rs
@@ -225,7 +225,6 @@
         route_locality: RouteLocality::default(),
         service_times: ServiceTimes::default(),
         placement: ObjectPlacement::default(),
-        work: None,
     };
     let mut model = Model {
         scenario,
