--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -315,7 +315,8 @@
         regions,
     } = route_request(cx, &mut head, handed.is_some())?;
     if handed.is_none() {
-        enforce_account_limit(cx, account.as_ref())?;
+        let is_return = is_probable_return(cx, &route, &head);
+        enforce_account_limit(cx, account.as_ref(), is_return)?;
     }
     let service = match &handed {
         Some(header) => allowed_service(&route, &header.service),
@@ -323,9 +324,9 @@
     };
     let service = service.ok_or(AdmitError::NoTarget)?;
     let state = cx.service(&service);
-    let requested = head.headers.get(&cx.dialect.headers.time_left);
-    let requested = requested.and_then(|v| v.to_str().ok()?.trim().parse().ok());
-    let timeout = requested.map_or(DEFAULT_TIMEOUT, Millis).min(route.timeout);
+    let timeout = stated_time_left(cx, &head)
+        .unwrap_or(DEFAULT_TIMEOUT)
+        .min(route.timeout);
     let object = object_hash(cx, &head);
     let versions = choose_versions(cx, &service, object, &head, handed.as_ref());
     if handed.is_none() {
@@ -361,11 +362,27 @@
     })
 }
 
+/// Returns the time for which the caller still waits, if it states that.
+fn stated_time_left(cx: &EdgeContext, head: &RequestHead) -> Option<Millis> {
+    let value = head.headers.get(&cx.dialect.headers.time_left)?;
+    value.to_str().ok()?.trim().parse().ok().map(Millis)
+}
+
+/// Returns whether the caller has probably been refused before, if load control is on.
+fn is_probable_return(cx: &EdgeContext, route: &Route, head: &RequestHead) -> bool {
+    if !cx.load_control.is_on() || !cx.switches.is_on(Mechanism::Returns) {
+        return false;
+    }
+    let state = cx.route(&route.name);
+    stated_time_left(cx, head).is_some_and(|left| state.caller_budget.record(left, cx.now()))
+}
+
 /// Counts a request against its account's limit and rejects it if it exceeds the limit. Not called
 /// for requests that were handed over, since the VM that received them has counted them.
 fn enforce_account_limit(
     cx: &EdgeContext,
     account: Option<&Arc<Account>>,
+    is_return: bool,
 ) -> Result<(), AdmitError> {
     let Some(account) = account.filter(|_| cx.switches.is_on(Mechanism::Quota)) else {
         return Ok(());
@@ -374,7 +391,11 @@
         presence::refresh(cx);
     }
     let draw = cx.rng.borrow_mut().f64();
-    match cx.quota.admit(account, draw) {
+    let verdict = match is_return {
+        true => cx.quota.admit_return(account, draw),
+        false => cx.quota.admit(account, draw),
+    };
+    match verdict {
         Verdict::Admitted => Ok(()),
         Verdict::OverLimit(over) => Err(AdmitError::OverLimit(Arc::clone(account), over)),
     }
--- a/crates/edge/src/locality.rs
+++ b/crates/edge/src/locality.rs
@@ -12,6 +12,7 @@
 use heatherknot_types::hash;
 use heatherknot_types::prelude::*;
 
+use crate::admission::caller_budget::CallerBudget;
 use crate::ewma::Ewma;
 use crate::selection::Locality;
 use crate::spillover::Spillover;
@@ -52,6 +53,8 @@
     updated_at: Cell<Millis>,
     /// Whether the transfers of the route are large.
     is_large: Cell<bool>,
+    /// How long its callers wait.
+    pub caller_budget: CallerBudget,
 }
 
 impl Default for RouteLocality {
@@ -63,6 +66,7 @@
             domain_fraction: Cell::new(0.0),
             updated_at: Cell::new(Millis(0)),
             is_large: Cell::new(false),
+            caller_budget: CallerBudget::default(),
         }
     }
 }
--- a/crates/edge/src/quota/meter.rs
+++ b/crates/edge/src/quota/meter.rs
@@ -33,10 +33,22 @@
 /// Delay after which a caller may retry on a VM without a current answer, in seconds. A VM that has
 /// started gets one within half a second.
 const RETRY_AFTER_WITHOUT_ANSWER_S: f64 = 0.5;
+/// Credit that a VM needs to admit a return, and the most that returns leave to new requests. All VMs together then admit
+/// at most half a request per VM beyond what an even spread admits at any time.
+const RETURN_CREDIT: f64 = 1.5;
 /// Maximum number of accounts in the table; at the limit the table is cleared. Bounds memory over
 /// many changes of the configuration, at 100 bytes per account.
 const MAX_ACCOUNTS: usize = 20_000;
 
+/// Place of a request in the order of its account's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOrder {
+    /// A new request.
+    First,
+    /// A request whose caller was refused before.
+    Return,
+}
+
 /// The decision about a request by its account's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
@@ -119,6 +131,19 @@
         vms: usize,
         now: Millis,
         draw: f64,
+    ) -> Verdict {
+        self.admit_in_order(account, limit, RequestOrder::First, vms, now, draw)
+    }
+
+    /// Like [`Meter::admit`], for a request with a place in the order of its account's requests.
+    pub fn admit_in_order(
+        &mut self,
+        account: &AccountName,
+        limit: RateLimit,
+        order: RequestOrder,
+        vms: usize,
+        now: Millis,
+        draw: f64,
     ) -> Verdict {
         let share = Share::of(limit, vms);
         let fraction = self.fraction(account, now);
@@ -128,7 +153,7 @@
         let round = self.round_count;
         let admission = self.admission(account, now, draw);
         admission.refill(share, round, answer_expires_at, now, draw);
-        let is_admitted = admission.admit(fraction, share);
+        let is_admitted = admission.admit(fraction, order, share);
         self.record(account, share, is_admitted);
         match is_admitted {
             true => Verdict::Admitted,
@@ -260,11 +285,13 @@
     ///
     /// A VM that is cut off must keep serving, yet the sum over all VMs must stay within the limit
     /// whatever the connectivity. VMs that hear each other set the shares of the others aside.
-    fn admit(&mut self, fraction: Option<f64>, share: Share) -> bool {
+    fn admit(&mut self, fraction: Option<f64>, order: RequestOrder, share: Share) -> bool {
         let has_token = self.tokens >= 1.0;
         let is_admitted = match fraction {
-            Some(fraction) if self.in_round < share.round_quota() => self.admit_fraction(fraction),
-            Some(fraction) => has_token && self.admit_fraction(fraction),
+            Some(fraction) if self.in_round < share.round_quota() => {
+                self.admit_fraction(fraction, order)
+            }
+            Some(fraction) => has_token && self.admit_fraction(fraction, order),
             None => has_token,
         };
         if is_admitted {
@@ -276,12 +303,22 @@
     }
 
     /// Admits a fraction of the requests, spread as evenly as possible.
-    fn admit_fraction(&mut self, fraction: f64) -> bool {
+    ///
+    /// A return leaves its part to new requests unless those leave some over. Both need the same
+    /// work, but only a new request can still be answered within its latency target.
+    fn admit_fraction(&mut self, fraction: f64, order: RequestOrder) -> bool {
         if fraction >= 1.0 {
             return true;
         }
         self.credit += fraction;
-        let is_admitted = self.credit >= 1.0;
+        let needed = match order {
+            RequestOrder::First => 1.0,
+            RequestOrder::Return => {
+                self.credit = self.credit.min(RETURN_CREDIT);
+                RETURN_CREDIT
+            }
+        };
+        let is_admitted = self.credit >= needed;
         if is_admitted {
             self.credit -= 1.0;
         }
--- a/crates/edge/src/quota/state.rs
+++ b/crates/edge/src/quota/state.rs
@@ -8,7 +8,7 @@
 use heatherknot_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use super::meter::{Meter, Verdict};
+use super::meter::{Meter, RequestOrder, Verdict};
 use super::totals::{AccountUsage, Totals};
 use super::usage::{Counts, Reporter, UsageReport};
 use crate::accounts::{Account, Accounts};
@@ -107,6 +107,16 @@
     /// Decides whether a request of an account may run, and counts it; `draw` is uniformly
     /// distributed between 0 and 1.
     pub fn admit(&self, account: &Account, draw: f64) -> Verdict {
+        self.decide(account, RequestOrder::First, draw)
+    }
+
+    /// Like [`Quota::admit`], for a caller that was refused before and that new requests of its
+    /// account precede.
+    pub fn admit_return(&self, account: &Account, draw: f64) -> Verdict {
+        self.decide(account, RequestOrder::Return, draw)
+    }
+
+    fn decide(&self, account: &Account, order: RequestOrder, draw: f64) -> Verdict {
         let Some(limit) = account.limit else {
             return Verdict::Admitted;
         };
@@ -116,7 +126,8 @@
             most => most,
         };
         let mut meter = self.meter.borrow_mut();
-        let verdict = meter.admit(&account.name, limit, vms, self.timer.now(), draw);
+        let now = self.timer.now();
+        let verdict = meter.admit_in_order(&account.name, limit, order, vms, now, draw);
         if meter.has_surge() {
             self.surge.borrow().fire();
         }
