Admit new requests before returns within an account's limit

Cause: while an account sends several times its limit, refused callers return after a third of their time and take admissions from new requests of the same account.

Tested on the seeded model of 87 VMs: the limit holds at four to nine times the usual with returns, at least nine in ten admitted are new, and returns are admitted after the surge.

--- a/crates/edge/tests/quota.rs
+++ b/crates/edge/tests/quota.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use heatherknot_edge::accounts::{Accounts, RateLimit};
+use heatherknot_edge::quota::meter::RequestOrder;
 use heatherknot_edge::quota::state::Quota;
 use heatherknot_edge::quota::usage::UsageReport;
 use heatherknot_test_support::property::check;
@@ -38,6 +39,7 @@
         demand: vec![(0, per_second * USUAL_FRACTION)],
         faults: Vec::new(),
         end: 30_000,
+        returns: None,
         seed: 1,
     }
 }
@@ -347,3 +349,48 @@
         }
     }
 }
+
+/// Guards against a surge in which returning callers, whose responses come too late, use up the limit
+/// of their account: at least nine in ten of the requests admitted from the third second of the surge
+/// on are new ones, and the limit holds.
+#[test]
+fn in_a_surge_new_requests_precede_returns_within_the_limit() {
+    for (per_second, times) in [(16.0, 7.0), (60.0, 7.0), (625.0, 4.0), (625.0, 9.0)] {
+        for seed in 1..=5 {
+            let scenario = Scenario {
+                returns: Some(RequestOrder::Return),
+                end: 18_000,
+                seed,
+                ..surge(per_second, times)
+            };
+
+            let result = simulate(&scenario, Policy::Parts);
+
+            assert_within_limit(&scenario, &result);
+            let in_surge = result.admitted.iter().filter(|at| **at >= 12_000).count() as u64;
+            let returns = result.returns_admitted;
+            assert!(
+                returns * 10 <= in_surge,
+                "{returns} of {in_surge} at {per_second}, {times}"
+            );
+        }
+    }
+}
+
+/// Guards against returns that are never admitted: once a surge is over, the account's callers that
+/// come back find room, and the limit holds.
+#[test]
+fn after_a_surge_returns_are_admitted_within_the_limit() {
+    for seed in 1..=5 {
+        let scenario = Scenario {
+            returns: Some(RequestOrder::Return),
+            seed,
+            ..surge(625.0, 7.0)
+        };
+
+        let result = simulate(&scenario, Policy::Parts);
+
+        assert_within_limit(&scenario, &result);
+        assert!(result.returns_admitted > 0);
+    }
+}
--- a/crates/edge/tests/support/quota_model.rs
+++ b/crates/edge/tests/support/quota_model.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use heatherknot_edge::accounts::{Account, AccountEntry, Accounts, RateLimit};
-use heatherknot_edge::quota::meter::{Meter, Verdict};
+use heatherknot_edge::quota::meter::{Meter, RequestOrder, Verdict};
 use heatherknot_edge::quota::totals::Totals;
 use heatherknot_edge::quota::usage::{Counts, Reporter, UsageReport};
 use heatherknot_types::prelude::*;
@@ -20,6 +20,8 @@
 /// Timeouts of a report within a domain and between domains.
 const TIMEOUT_WITHIN_DOMAIN: u64 = 400;
 const TIMEOUT_BETWEEN_DOMAINS: u64 = 700;
+/// How long a refused caller waits before it returns.
+const RETURN_DELAY: u64 = 1_667;
 /// How long a process takes to restart.
 const RESTART_TIME: u64 = 700;
 
@@ -70,6 +72,8 @@
     pub faults: Vec<(u64, Fault)>,
     /// The end, in milliseconds.
     pub end: u64,
+    /// How refused callers return, if they do.
+    pub returns: Option<RequestOrder>,
     /// The random seed.
     pub seed: u64,
 }
@@ -78,6 +82,8 @@
 pub struct RunResult {
     /// When requests were admitted, in milliseconds.
     pub admitted: Vec<u64>,
+    /// Number of admitted requests whose callers had been refused before.
+    pub returns_admitted: u64,
     /// Number of requests that callers sent.
     pub sent: u64,
     /// Number of requests that a single shared counter would have admitted.
@@ -139,6 +145,8 @@
     rng: fastrand::Rng,
     accounts: Accounts,
     vms: Vec<Vm>,
+    /// When refused callers return, the next one first.
+    returns: Vec<u64>,
     events: Vec<(u64, Event)>,
     partitioned: Vec<bool>,
     loss_rate: f64,
@@ -173,12 +181,13 @@
         }
         model.deliver(now);
         model.step(now);
+        model.send_returns(now);
         level = (level + limit.per_second * STEP as f64 / 1_000.0).min(limit.burst.max(1.0));
         let demand = scenario.demand.iter().rfind(|(from, _)| *from <= now);
         due += demand.map_or(0.0, |(_, rate)| rate * STEP as f64 / 1_000.0);
         while due >= 1.0 {
             due -= 1.0;
-            model.send_request(now);
+            model.send_request(RequestOrder::First, now);
             if level >= 1.0 {
                 level -= 1.0;
                 model.result.ideal_admitted += 1;
@@ -203,10 +212,12 @@
             vms,
             rng,
             events: Vec::new(),
+            returns: Vec::new(),
             loss_rate: 0.0,
             delay: 0,
             result: RunResult {
                 admitted: Vec::new(),
+                returns_admitted: 0,
                 sent: 0,
                 ideal_admitted: 0,
                 reports: 0,
@@ -230,7 +241,16 @@
         }
     }
 
-    fn send_request(&mut self, now: u64) {
+    fn send_returns(&mut self, now: u64) {
+        let due = self.returns.partition_point(|at| *at <= now);
+        for _ in self.returns.drain(..due).collect::<Vec<_>>() {
+            let order = self.scenario.returns.unwrap_or(RequestOrder::First);
+            self.send_request(order, now);
+            self.result.sent -= 1;
+        }
+    }
+
+    fn send_request(&mut self, order: RequestOrder, now: u64) {
         self.result.sent += 1;
         let up: Vec<usize> = (0..self.vms.len())
             .filter(|vm| self.vms[*vm].up_at <= now)
@@ -242,11 +262,19 @@
         let draw = self.rng.f64();
         let vms = self.vms.len();
         let limit = self.scenario.limit;
-        let verdict = self.vms[vm]
-            .meter
-            .admit(&ACCOUNT.into(), limit, vms, Millis(now), draw);
+        let verdict = self.vms[vm].meter.admit_in_order(
+            &ACCOUNT.into(),
+            limit,
+            order,
+            vms,
+            Millis(now),
+            draw,
+        );
         if verdict == Verdict::Admitted || self.policy == Policy::Unlimited {
             self.result.admitted.push(now);
+            self.result.returns_admitted += u64::from(order == RequestOrder::Return);
+        } else if self.scenario.returns.is_some() && order == RequestOrder::First {
+            self.returns.push(now + RETURN_DELAY);
         }
     }
 
