Hand large transfers over to homes with a wide link under load control

Cause: uploads went directly to their servers, by loads that the sending VM had last heard of seconds ago.

Change: with load control on, requests of routes with large transfers are handed over too, to homes whose link carries 100 Mbit/s or more. Bodies are streamed and bounded as before.

Tested with real daemons: 60 KB and 360 KB pass through a wide home, and not through a narrow one.

--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -49,6 +49,9 @@
 const RELAY_FIELD: &str = "relay";
 /// How long a relayed request waits for the configuration that routed it to reach this VM.
 const MAX_CONFIG_WAIT: Millis = Millis(250);
+/// Bandwidth of a VM's link, in megabits per second, from which large transfers may pass through the
+/// VM as a home. At a tenth of it, a body of 60 KB takes 50 ms.
+const MIN_WIDE_LINK_MBPS: u32 = 100;
 /// Interval of the checks meanwhile.
 const CONFIG_POLL_INTERVAL: Millis = Millis(10);
 
@@ -223,7 +226,8 @@
     }
     let first = call_selection::first_ranked(cx, call)?;
     let home = cx.homes.home_of(&first, &cx.vms.borrow())?;
-    (home.vm != cx.cfg.vm).then_some((first, home))
+    let is_other = home.vm != cx.cfg.vm;
+    (is_other && may_pass_through(cx, call, &home.vm)).then_some((first, home))
 }
 
 /// Returns whether a request should be served through the home VM of its server, which may be this
@@ -231,17 +235,35 @@
 ///
 /// It should not if this VM sends the service's servers so many requests that it keeps its own
 /// connections to them and knows their load. Nor should it if the route carries much data, which
-/// would pass through the link of one more VM.
+/// would pass through the link of one more VM, unless load control is on: then homes with a wide link
+/// get those requests too, because a VM that knows only old loads sends them to full servers.
 pub(crate) fn uses_home(cx: &EdgeContext, call: &Call) -> bool {
     let is_enabled = cx.cfg.listen.handed.is_some() && cx.switches.is_on(Mechanism::HandOver);
-    is_enabled && !cx.route(&call.route.name).has_large_transfers() && has_few_requests(cx, call)
+    let may_be_large = is_wide_home_used(cx);
+    let is_excluded = !may_be_large && cx.route(&call.route.name).has_large_transfers();
+    is_enabled && !is_excluded && has_few_requests(cx, call)
+}
+
+fn is_wide_home_used(cx: &EdgeContext) -> bool {
+    cx.load_control.is_on() && cx.switches.is_on(Mechanism::WideHomes)
+}
+
+/// Returns whether a request may pass through the link of a home VM.
+fn may_pass_through(cx: &EdgeContext, call: &Call, home: &VmName) -> bool {
+    if !is_wide_home_used(cx) || !cx.route(&call.route.name).has_large_transfers() {
+        return true;
+    }
+    let vms = cx.vms.borrow();
+    let entry = vms.iter().find(|vm| vm.name == *home);
+    entry.is_some_and(|vm| vm.link_mbps >= MIN_WIDE_LINK_MBPS)
 }
 
 /// Returns whether this VM, as the home VM of the servers, may choose where objects are placed. It
 /// may if another VM handed the request over, or if this VM would have done so were it not the home
 /// VM itself.
 pub(crate) fn may_place_object(cx: &EdgeContext, call: &Call) -> bool {
-    cx.switches.is_on(Mechanism::Spread) && (call.assigned_server.is_some() || uses_home(cx, call))
+    let is_home_used = || uses_home(cx, call) && may_pass_through(cx, call, &cx.cfg.vm);
+    cx.switches.is_on(Mechanism::Spread) && (call.assigned_server.is_some() || is_home_used())
 }
 
 /// Returns whether this VM has so few requests for each server of the service, within the idle
--- a/crates/edge/src/switches.rs
+++ b/crates/edge/src/switches.rs
@@ -57,6 +57,8 @@
     Admission,
     /// Refused callers get a reserved time to return.
     Returns,
+    /// Large transfers pass through home VMs with a wide link.
+    WideHomes,
     /// A home VM accepts requests routed by another configuration that agrees on their route.
     RouteAgreement,
 }
