Reserve times at which refused callers return

Cause: a refused caller was told the wait at the best server, or a constant after servers rejected its request, at most a third of the time left within the route's timeout. All callers of a burst returned into it at once, and most were refused a second time, after which a caller gives up.

Change: where load control and the switch "returns" are on, the VM that refuses keeps a book of reservations for each service. Returns are spaced by a twentieth of its servers' slots, urgent ones first, up to a third of the time that the caller has left. A caller that returns in its time is accepted by a busy server also after the latency target; one that returns earlier is refused with the rest of its wait. A VM that hands a request over tells the home how long the caller waits, in a header that no backend server gets.

Of daemons: a return through another VM is recognised, and accepted where a new request is refused.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -12,7 +12,7 @@
 use crate::accounts::{Account, AllowedRegions};
 use crate::catalog::{Catalog, Route};
 use crate::context::{EdgeContext, ServiceState};
-use crate::hand_over::{HandOverHeader, Purpose};
+use crate::hand_over::{self, HandOverHeader, Purpose};
 use crate::identify::{self, IdentifyError};
 use crate::poison::fingerprint::{Fingerprint, Identity, KnownBody, quick_hash};
 use crate::poison::suspects::placement_hash;
@@ -26,6 +26,8 @@
 const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Millis = Millis(30_000);
+/// Longest time that a caller is taken to wait, whatever it states.
+const MAX_CALLER_LEFT: Millis = Millis(60_000);
 
 /// A caller's request that has been admitted.
 pub(crate) struct Call {
@@ -60,6 +62,10 @@
     pub(crate) started: Millis,
     /// When the request has to be answered at the latest.
     pub(crate) deadline: Millis,
+    /// When the caller gives up, which may be after `deadline`.
+    pub(crate) caller_deadline: Millis,
+    /// Whether the caller was refused before and returns in the time reserved for it.
+    pub(crate) is_returning: bool,
     /// Fires when the caller disconnects.
     pub(crate) cancelled: Flag,
 }
@@ -323,9 +329,7 @@
     };
     let service = service.ok_or(AdmitError::NoTarget)?;
     let state = cx.service(&service);
-    let requested = head.headers.get(&cx.dialect.headers.time_left);
-    let requested = requested.and_then(|v| v.to_str().ok()?.trim().parse().ok());
-    let timeout = requested.map_or(DEFAULT_TIMEOUT, Millis).min(route.timeout);
+    let (timeout, caller_left) = time_limits(cx, &mut head, &route, handed.is_some());
     let object = object_hash(cx, &head);
     let versions = choose_versions(cx, &service, object, &head, handed.as_ref());
     if handed.is_none() {
@@ -357,10 +361,28 @@
         assigned_server: handed.map(|header| header.server),
         started,
         deadline: started + timeout,
+        caller_deadline: started + caller_left,
+        is_returning: false,
         cancelled: req.cancelled,
     })
 }
 
+/// Returns the time in which a request has to be answered, and the time after which its caller gives
+/// up.
+fn time_limits(
+    cx: &EdgeContext,
+    head: &mut RequestHead,
+    route: &Route,
+    is_handed_over: bool,
+) -> (Millis, Millis) {
+    let requested = head.headers.get(&cx.dialect.headers.time_left);
+    let requested = requested.and_then(|v| v.to_str().ok()?.trim().parse().ok().map(Millis));
+    let timeout = requested.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let told_by_peer = hand_over::take_caller_left(&mut head.headers);
+    let caller_left = told_by_peer.filter(|_| is_handed_over).or(requested);
+    (timeout, caller_left.unwrap_or(timeout).min(MAX_CALLER_LEFT))
+}
+
 /// Counts a request against its account's limit and rejects it if it exceeds the limit. Not called
 /// for requests that were handed over, since the VM that received them has counted them.
 fn enforce_account_limit(
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -7,6 +7,7 @@
 use heatherknot_types::prelude::*;
 
 use crate::accounts::AllowedRegions;
+use crate::admission::returns;
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::hand_over;
@@ -31,6 +32,8 @@
     pub(crate) retry_after: Millis,
     /// The best available server, if it was expected to respond too late.
     pub(crate) best: Option<Candidate>,
+    /// Who chooses the time told to the caller.
+    pub(crate) return_time: ReturnTime,
     /// What kept the request from a server that is otherwise available.
     pub(crate) held_back: Option<HeldBack>,
     /// Whether this VM reaches less than half of the servers that may run the request, so that
@@ -38,6 +41,17 @@
     pub(crate) is_cut_off: bool,
 }
 
+/// How the time told to a refused caller is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReturnTime {
+    /// It is that of the refusal.
+    Stated,
+    /// It is reserved for the caller if servers are busy or rejected the request.
+    ToReserve,
+    /// It is the rest of the time until the caller's reservation.
+    Kept,
+}
+
 /// What keeps a request from a server.
 #[derive(Clone, Debug)]
 pub(crate) enum HeldBack {
@@ -58,13 +72,25 @@
     }
 
     pub(crate) fn no_more_sends() -> Self {
-        refuse("no further send is allowed", DEFAULT_RETRY_AFTER)
+        Self {
+            return_time: ReturnTime::ToReserve,
+            ..refuse("no further send is allowed", DEFAULT_RETRY_AFTER)
+        }
+    }
+
+    /// Refuses a caller that returns before the time reserved for it, which is `left` away.
+    pub(crate) fn early_return(left: Millis) -> Self {
+        Self {
+            return_time: ReturnTime::Kept,
+            ..refuse("the caller returned before its time", left)
+        }
     }
 
     /// Refuses a request that was sent to as many unreachable servers as it may be.
     pub(crate) fn unreachable() -> Self {
         Self {
             is_cut_off: true,
+            return_time: ReturnTime::Stated,
             ..Self::no_more_sends()
         }
     }
@@ -121,7 +147,10 @@
     // A response after the latency target is worth little, and the work on it would make the next
     // requests late as well. A request that would have to wait that long is refused at once.
     let spent = now.since(call.started).0 as f64;
-    let is_late = best.response_ms + spent > max_completion_ms(cx, call, &best, now);
+    let returning_ms = returns::expected_wait_ms(cx, call, &best);
+    // A caller that returns in its time gives up if it is refused again.
+    let is_late = !call.is_returning
+        && best.response_ms + spent + returning_ms > max_completion_ms(cx, call, &best, now);
     // A free server gets the request even if it is expected to finish late: the estimate may stem
     // from other routes' requests, and a refusal would leave the server idle.
     let is_useless = best.response_ms > left.0 as f64 * USEFUL_FRACTION;
@@ -130,6 +159,7 @@
         let retry_after = Millis(wait as u64).min(Millis(left.0 / 3));
         return Err(Refusal {
             best: Some(best),
+            return_time: ReturnTime::ToReserve,
             is_cut_off: is_cut_off(cx, call, excluded),
             ..refuse("every backend server is busy for too long", retry_after)
         });
@@ -144,7 +174,10 @@
             is_cut_off: true,
             ..refuse("no backend server can be reached", DEFAULT_RETRY_AFTER)
         },
-        false => refuse("no backend server can take it", DEFAULT_RETRY_AFTER),
+        false => Refusal {
+            return_time: ReturnTime::ToReserve,
+            ..refuse("no backend server can take it", DEFAULT_RETRY_AFTER)
+        },
     }
 }
 
@@ -260,6 +293,7 @@
         cause,
         retry_after,
         best: None,
+        return_time: ReturnTime::Stated,
         held_back: None,
         is_cut_off: false,
     }
@@ -283,6 +317,26 @@
     cold.into_iter().find(may).into_iter().collect()
 }
 
+/// Returns the slots of the servers that may run the request and whose requests this VM handles: as
+/// their home VM, or its equal part of all.
+pub(crate) fn handled_slots(cx: &EdgeContext, call: &Call) -> f64 {
+    let excluded = Exclusions {
+        tried: &[],
+        limited: false,
+        unreachable: true,
+    };
+    let servers = warm_candidates(cx, call, &excluded, cx.now());
+    let slots = |u: &Rc<Upstream>| f64::from(u.slots.get());
+    let at_home = servers.iter().filter(|u| is_home(cx, u)).map(slots);
+    let at_home = at_home.sum::<f64>();
+    let uses_home = call.assigned_server.is_some() || hand_over::uses_home(cx, call);
+    if uses_home && at_home > 0.0 {
+        return at_home;
+    }
+    let vms = cx.vms.borrow().len().max(1) as f64;
+    servers.iter().map(slots).sum::<f64>() / vms
+}
+
 /// Returns the versions that a request may be sent to, the preferred one first.
 fn version_choices(cx: &EdgeContext, call: &Call, tried: &[UpstreamName]) -> Vec<VersionChoice> {
     let first = match tried.is_empty() {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -11,6 +11,7 @@
 use heatherknot_types::prelude::*;
 use prometheus::Registry;
 
+use crate::admission::returns::ReturnBook;
 use crate::budget::RetryBudget;
 use crate::cold_sends::ColdSends;
 use crate::dialect::Dialect;
@@ -153,6 +154,8 @@
     pub limit_returns: RefCell<ReturnSchedule>,
     /// When callers refused because of backoffs are to retry.
     pub backoff_returns: RefCell<ReturnSchedule>,
+    /// When callers refused because all servers are busy are to retry.
+    pub returns: RefCell<ReturnBook>,
 }
 
 impl EdgeContext {
@@ -177,6 +180,7 @@
                 cold_sends: RefCell::default(),
                 limit_returns: RefCell::default(),
                 backoff_returns: RefCell::default(),
+                returns: RefCell::default(),
             })
         });
         Rc::clone(state)
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -422,7 +422,7 @@
 /// between requests, since there are few of them and opening a new one costs a round trip.
 fn hand_over_limits(limits: Limits) -> Limits {
     Limits {
-        kept_headers: &[hand_over::HAND_OVER_HEADER],
+        kept_headers: &[hand_over::HAND_OVER_HEADER, hand_over::CALLER_LEFT_HEADER],
         ahead: None,
         ..limits
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -5,6 +5,7 @@
 use heatherknot_http::{Request, Response};
 use heatherknot_types::prelude::*;
 
+use crate::admission::returns::{self, ReturnRecord};
 use crate::attempt::{self, SendOutcome};
 use crate::call::{self, AdmitError, Call};
 use crate::call_selection::{self, Exclusions, HeldBack, Refusal};
@@ -57,6 +58,8 @@
     pub(crate) cause: &'static str,
     /// The best server at the time the request was refused.
     pub(crate) best_when_refused: Option<Candidate>,
+    /// What a refused caller was told, if returns are reserved.
+    pub(crate) told_return: Option<ReturnRecord>,
 }
 
 /// Handles a caller's request.
@@ -129,7 +132,11 @@
             return response;
         }
     }
-    let refusal = match send_until_answered(cx, &mut call, &mut history).await {
+    let sent = match returns::claim(cx, &mut call) {
+        Some(refusal) => Err(refusal),
+        None => send_until_answered(cx, &mut call, &mut history).await,
+    };
+    let refusal = match sent {
         Ok(response) => {
             request_log::record_end(cx, &call, &history, &response);
             return response;
@@ -356,5 +363,6 @@
         .refusals
         .with_label_values(&[call.service.as_str(), cause])
         .inc();
-    reply::not_run(cause, refusal.retry_after)
+    let retry_after = returns::retry_after(cx, call, history, refusal);
+    reply::not_run(cause, retry_after)
 }
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -36,6 +36,10 @@
 /// proves knowledge of the deployment's secret, the configuration version, the service and the
 /// backend server. It is removed from callers' requests.
 pub const HAND_OVER_HEADER: &str = "heatherknot-handed";
+/// Header by which a VM that hands a request over tells how long the caller waits for it, in
+/// milliseconds, whatever the route's timeout. It counts only beside a valid [`HAND_OVER_HEADER`].
+/// VMs that don't know it go by the time left of the request.
+pub const CALLER_LEFT_HEADER: &str = "heatherknot-caller-left";
 /// Response header by which a home VM declines a request that it has not started.
 const DECLINED_HEADER: &str = "heatherknot-declined";
 /// Response header by which a VM tells the VM that handed the request over that the backend server is
@@ -304,9 +308,20 @@
     let handed = HeaderName::from_static(HAND_OVER_HEADER);
     head.headers
         .insert(handed, header.to_value(&cx.hand_over_token)?);
+    if cx.load_control.is_on() {
+        let caller_left = HeaderValue::from(call.caller_deadline.since(cx.now()).0);
+        let name = HeaderName::from_static(CALLER_LEFT_HEADER);
+        head.headers.insert(name, caller_left);
+    }
     Some(head)
 }
 
+/// Removes [`CALLER_LEFT_HEADER`] from a request and returns its value.
+pub(crate) fn take_caller_left(headers: &mut HeaderMap) -> Option<Millis> {
+    let value = headers.remove(CALLER_LEFT_HEADER)?;
+    value.to_str().ok()?.parse().ok().map(Millis)
+}
+
 /// Identifies the run of a server in [`LEAVING_HEADER`].
 fn run_of(upstream: &Upstream) -> String {
     let started_at = upstream.started_at.map_or(0, |at| at.0);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -80,6 +80,33 @@
     }
 }
 
+/// Metrics of callers that were refused and return, by service.
+pub struct ReturnMetrics {
+    /// Reservations made and claimed, and callers without one, by event.
+    pub events: IntCounterVec,
+    /// Time that refused callers were told to wait, in seconds.
+    pub told_seconds: HistogramVec,
+}
+
+impl ReturnMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            events: register_counters(
+                registry,
+                "heatherknot_returns_total",
+                "Reserved returns of refused callers, by service and event",
+                &["service", "event"],
+            )?,
+            told_seconds: register_histogram(
+                registry,
+                "heatherknot_return_seconds",
+                "Time that refused callers were told to wait, by service",
+                &["service"],
+            )?,
+        })
+    }
+}
+
 /// Metrics of a VM's copy of the store's keys.
 pub struct StoreCopyMetrics {
     /// Era of the store.
@@ -119,6 +146,8 @@
     pub backpressure: BackpressureMetrics,
     /// Metrics of request limits.
     pub limits: LimitMetrics,
+    /// Metrics of returning callers.
+    pub returns: ReturnMetrics,
     /// Requests that a backend server was running when it crashed, by service.
     pub requests_at_server_crash: IntCounterVec,
     /// Backend servers that this VM reaches, by service.
@@ -171,6 +200,7 @@
             retries: register_retries(registry)?,
             backpressure: BackpressureMetrics::register(registry)?,
             limits: LimitMetrics::register(registry)?,
+            returns: ReturnMetrics::register(registry)?,
             requests_at_server_crash: counters(
                 "heatherknot_requests_at_server_ends_total",
                 "Requests that a backend server had when it ended, by service",
@@ -280,12 +310,22 @@
 }
 
 fn register_latency(registry: &Registry) -> Result<HistogramVec, prometheus::Error> {
-    let opts = HistogramOpts::new(
+    register_histogram(
+        registry,
         "heatherknot_request_seconds",
         "Time from a request's head to its answer",
-    );
-    let opts = opts.buckets(LATENCY_BUCKETS.to_vec());
-    let latency = HistogramVec::new(opts, &["service", "outcome"])?;
-    registry.register(Box::new(latency.clone()))?;
-    Ok(latency)
+        &["service", "outcome"],
+    )
+}
+
+fn register_histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    let histogram = HistogramVec::new(opts, labels)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
 }
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -8,7 +8,7 @@
 
 /// Shortest `retry-after` of a refused request. A caller that retries earlier would return before
 /// anything has changed.
-const MIN_RETRY_AFTER: Millis = Millis(100);
+pub(crate) const MIN_RETRY_AFTER: Millis = Millis(100);
 
 /// Refuses a request that no backend server has run or will run.
 pub fn not_run(cause: &'static str, retry_after: Millis) -> Response {
--- a/crates/edge/src/request_limit/return_schedule.rs
+++ b/crates/edge/src/request_limit/return_schedule.rs
@@ -2,6 +2,9 @@
 
 use heatherknot_types::prelude::*;
 
+/// Fraction of the longest wait from which on callers are spread that get no time of their own.
+const SPREAD_FROM: f64 = 0.5;
+
 /// Assigns each refused caller a time to retry.
 #[derive(Debug, Default)]
 pub struct ReturnSchedule {
@@ -27,6 +30,25 @@
             self.last = slot;
             return slot.since(now);
         }
-        Millis((longest.0 as f64 * (0.5 + 0.5 * draw)) as u64)
+        without_reservation(longest, SPREAD_FROM, draw)
     }
 }
+
+/// Returns the first time from `from` on that is at least `gap` away from each time in `taken`,
+/// which are in ascending order.
+pub fn first_gap(taken: impl Iterator<Item = Millis>, from: Millis, gap: Millis) -> Millis {
+    let mut time = from;
+    for taken in taken {
+        if time + gap <= taken {
+            break;
+        }
+        time = time.max(taken + gap);
+    }
+    time
+}
+
+/// Returns the delay of a caller for which no time is free until `longest`. Those callers are spread
+/// by `draw` from the fraction `from` of it on.
+pub fn without_reservation(longest: Millis, from: f64, draw: f64) -> Millis {
+    Millis((longest.0 as f64 * (from + (1.0 - from) * draw)) as u64)
+}
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -119,6 +119,10 @@
         }
         None => {}
     }
+    if let Some(told) = &history.told_return {
+        info!(id, retry_after_ms = told.retry_after.0, returned = told.is_return, cause = history.cause;
+            "request refused");
+    }
     let account = call
         .account
         .as_ref()
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod poison_model;
 pub mod quota_model;
 pub mod region_model;
+pub mod return_model;
 pub mod rollout_model;
 
 use std::cell::{Cell, RefCell};
