--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -424,6 +424,7 @@
     Limits {
         kept_headers: &[
             hand_over::HAND_OVER_HEADER,
+            hand_over::CALLER_LEFT_HEADER,
             route_agreement::AGREEMENT_HEADER,
         ],
         ahead: None,
