Answer requests in flight before a planned stop ends them

Cause: HTTP/1.1 sends the responses of a connection in the order of its requests. A VM that stops closed each connection at 0.95 of its grace period. If the first of several pipelined requests was still unanswered then, responses behind it that were ready were never sent.

Requests that other VMs handed over still end with their connection, so that those VMs can send idempotent ones again.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -127,6 +127,9 @@
     pub leaving: Flag,
     /// Fires when the daemon stops accepting connections.
     pub stop: Flag,
+    /// Fires shortly before the daemon has to end, when callers get an answer to every request that
+    /// is still in flight.
+    pub cut_off: Flag,
 }
 
 /// This VM's state for one service.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,7 +1,9 @@
 //! Handles a request: admits it, sends it to backend servers one after the other, and responds.
 
+use std::pin::pin;
 use std::rc::Rc;
 
+use futures_util::future::{Either, select};
 use heatherknot_http::{Request, Response};
 use heatherknot_types::prelude::*;
 
@@ -20,6 +22,10 @@
 
 /// `retry-after` while the daemon has no configuration.
 const NO_CATALOG_RETRY_AFTER: Millis = Millis(300);
+/// `retry-after` of a daemon that is about to end.
+const CUT_OFF_RETRY_AFTER: Millis = Millis(100);
+/// Cause of the responses to requests that a shutdown cuts off.
+const CUT_OFF_CAUSE: &str = "the shutdown of this VM";
 /// `retry-after` for requests that only a configuration change can make possible. A change takes
 /// some seconds to come into force.
 const CONFIG_ERROR_RETRY_AFTER: Millis = Millis(5_000);
@@ -62,10 +68,15 @@
 /// Handles a caller's request.
 pub async fn handle(cx: Rc<EdgeContext>, req: Request) -> Response {
     let id = call::request_id(&cx, &req.head).to_owned();
+    if cx.cut_off.is_fired() {
+        let labels = [CUT_OFF_CAUSE];
+        cx.metrics.unrouted.with_label_values(&labels).inc();
+        return reply::not_run(CUT_OFF_CAUSE, CUT_OFF_RETRY_AFTER);
+    }
     match call::admit(&cx, req, None).await {
         Ok(call) => {
             let account = call.account.clone();
-            let response = answer(&cx, call).await;
+            let response = answer_until_cut_off(&cx, call, &id).await;
             if let Some(account) = account.filter(|_| reply::is_not_run(&response)) {
                 cx.quota.refund(&account);
             }
@@ -79,6 +90,21 @@
     }
 }
 
+/// Answers an admitted request, or responds when the shutdown cuts it off. The responses behind it
+/// on its connection, which may be ready, can then be sent.
+async fn answer_until_cut_off(cx: &Rc<EdgeContext>, call: Call, id: &str) -> Response {
+    let service = call.service.clone();
+    let answering = pin!(answer(cx, call));
+    match select(answering, cx.cut_off.wait()).await {
+        Either::Left((response, _)) => response,
+        // Dropping the rest closes its connections, which makes the server stop its work.
+        Either::Right(_) => {
+            request_log::record_cut_off(cx, id, &service);
+            reply::outcome_unknown(CUT_OFF_CAUSE)
+        }
+    }
+}
+
 fn error_response(admit_error: &AdmitError) -> Response {
     let cause = admit_error.cause();
     match admit_error {
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -191,6 +191,13 @@
         store_age_ms = cx.feed.age().unwrap_or_default().0; "request not routed");
 }
 
+/// Counts and logs a request that the shutdown of this VM cuts off.
+pub(crate) fn record_cut_off(cx: &EdgeContext, id: &str, service: &ServiceName) {
+    let labels = [service.as_str(), "failed"];
+    cx.metrics.requests.with_label_values(&labels).inc();
+    info!(id, service:% = service; "request cut off by the shutdown");
+}
+
 /// Logs a request that exceeded its account's limit. Each VM logs only a few of these a second,
 /// because an account that sends many times its limit would otherwise fill the log.
 fn log_over_limit(cx: &EdgeContext, id: &str, config: u64, account: &Account, over: &OverLimit) {
