Keep an ended server's returned entry deleted until it is written again

Cause: after the store has lost changes, a server whose entry had been removed is shown as ready again. VMs adopted that when their wait of three seconds ended; the platform takes such an entry away after three silent heartbeats, 4.5 s. The test with real daemons showed a second cause: an entry counted as returned only with the very number of the deleted value. A server renews its entry every second, so the copy has an earlier one, which VMs took for a new entry at once.

Ruled out: a longer wait alone. It would be tied to the platform's heartbeats, and the second cause has no wait at all.

Change: the copy knows the prefix of keys that their writers renew. Such a key that returns with the number of its deleted value or an earlier one stays deleted until it is written, also on VMs that learnt of it from a peer and read all keys later. Other keys are as before. A running server whose entry had expired is used again with its next heartbeat. What is about unconfirmed keys moves to a module of its own, for length.

Tests: a_returned_server_is_used_once_its_entry_was_not_removed_again asked for the fault: a server used though nothing wrote its entry. Two replace it: not used before, used after the entry is written. The model of store_loss gets the prefix.

Not covered: a VM that starts and reads the store itself while the entry is back uses it until it is removed.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -98,6 +98,8 @@
         let mirror = Mirror::new(Rc::new(move |key, held, value| {
             values.borrow().is_outdated(key, held, value)
         }));
+        let server_prefix = routing_state.borrow().server_prefix();
+        let mirror = mirror.with_renewed_prefix(server_prefix);
         Rc::new(Self {
             started_at,
             await_peers_until: Cell::new(started_at + PEER_WAIT_AT_START),
--- a/crates/edge/src/feed/eras.rs
+++ b/crates/edge/src/feed/eras.rs
@@ -52,8 +52,10 @@
             return;
         }
         let changes = self.mirror.borrow_mut().accept_unconfirmed();
-        info!(keys = changes.len(), first = changes[0].key.as_str(); "keys that the store has lost were not written again");
-        self.publish_changes(&changes, true);
+        if let Some(first) = changes.first() {
+            info!(keys = changes.len(), first = first.key.as_str(); "keys that the store has lost were not written again");
+            self.publish_changes(&changes, true);
+        }
     }
 
     /// Waits for the keys for which a peer waits, too. A VM that has just started knows of the loss
--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -7,6 +7,8 @@
 //! keys are missing, deleted keys are back and values are outdated. Their writers write them again
 //! within seconds. Until then the copy keeps what it knows of missing and deleted keys.
 
+mod unconfirmed;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::rc::Rc;
@@ -14,6 +16,8 @@
 use bytes::Bytes;
 use heatherknot_store::port::{KeyValue, StoreRevision};
 
+pub use unconfirmed::UnconfirmedKeys;
+
 /// Maximum number of remembered gaps.
 const MAX_GAPS: usize = 8;
 /// Maximum number of remembered deleted keys. Above it they are dropped, and a peer that is far
@@ -42,22 +46,6 @@
     deleted_revision: Option<StoreRevision>,
 }
 
-/// Keys whose state in the store is earlier than here, after the store has lost its latest changes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct UnconfirmedKeys {
-    /// Keys that exist here and are missing in the store.
-    pub missing: BTreeSet<String>,
-    /// Keys that were deleted here and are back in the store, with their state there.
-    pub returned: BTreeMap<String, VersionedValue>,
-}
-
-impl UnconfirmedKeys {
-    /// Returns whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.missing.is_empty() && self.returned.is_empty()
-    }
-}
-
 /// Returns whether the second value of a key is from an earlier time than the first one, judged by the
 /// values alone.
 pub type IsOutdated = Rc<dyn Fn(&str, &Bytes, &Bytes) -> bool>;
@@ -74,6 +62,8 @@
 /// The local copy of the store's keys.
 pub struct Mirror {
     is_outdated: IsOutdated,
+    /// Prefix of the keys that their writers renew all the time.
+    renewed_prefix: Option<&'static str>,
     keys: BTreeMap<String, Entry>,
     /// All changes up to this revision are applied.
     revision: StoreRevision,
@@ -110,6 +100,7 @@
     pub fn new(is_outdated: IsOutdated) -> Self {
         Self {
             is_outdated,
+            renewed_prefix: None,
             keys: BTreeMap::new(),
             revision: StoreRevision::ZERO,
             pruned_at: StoreRevision::ZERO,
@@ -120,6 +111,15 @@
         }
     }
 
+    /// Sets the prefix of the keys that their writers renew all the time. If such a key was deleted
+    /// and the store returns it, it stays deleted until it is written again.
+    pub fn with_renewed_prefix(self, prefix: &'static str) -> Self {
+        Self {
+            renewed_prefix: Some(prefix),
+            ..self
+        }
+    }
+
     /// Returns the revision up to which all changes are applied.
     pub fn revision(&self) -> StoreRevision {
         self.revision
@@ -322,14 +322,18 @@
 
     /// Applies a key of the first complete list of an era; returns whether it was newer.
     fn apply_listed(&mut self, change: &Change, at: StoreRevision) -> bool {
+        let is_renewed = self.is_renewed(&change.key);
         let Some(entry) = self.keys.get_mut(&change.key) else {
             return self.apply(change);
         };
         let revision = change.current.revision;
-        // The same number: not a new value, but the one from before the deletion.
+        // The same number: not a new value, but the one from before the deletion. A renewed key may
+        // return with an earlier one.
         let has_returned = entry.current.value.is_none()
             && entry.deleted_revision.is_some_and(|deleted| {
-                deleted.era < revision.era && deleted.number == revision.number
+                deleted.era < revision.era
+                    && (deleted.number == revision.number
+                        || (is_renewed && revision.number < deleted.number))
             });
         if has_returned {
             entry.current.revision = revision;
@@ -345,54 +349,6 @@
         self.apply(change)
     }
 
-    /// Returns the keys whose state in the store is earlier than here.
-    pub fn unconfirmed(&self) -> &UnconfirmedKeys {
-        &self.unconfirmed
-    }
-
-    /// Adds the keys that are unconfirmed at a peer from which this copy was updated.
-    pub fn extend_unconfirmed(&mut self, keys: UnconfirmedKeys) {
-        let era = self.revision.era;
-        let is_earlier = |key: &String| {
-            let entry = self.keys.get(key);
-            entry.is_none_or(|entry| entry.current.revision.era < era)
-        };
-        let missing = keys.missing.into_iter();
-        let missing: Vec<String> = missing
-            .filter(|key| self.get(key).is_some() && is_earlier(key))
-            .collect();
-        let returned = keys.returned.into_iter();
-        let returned: Vec<_> = returned.filter(|(key, _)| is_earlier(key)).collect();
-        self.unconfirmed.missing.extend(missing);
-        self.unconfirmed.returned.extend(returned);
-    }
-
-    /// Adopts the store's state of all unconfirmed keys; returns the resulting changes.
-    pub fn accept_unconfirmed(&mut self) -> Vec<Change> {
-        let keys = std::mem::take(&mut self.unconfirmed);
-        let at = self.revision;
-        let deleted = keys.missing.into_iter().map(|key| deletion(key, at));
-        let returned = keys.returned.into_iter();
-        let returned = returned.map(|(key, current)| Change { key, current });
-        let changes: Vec<Change> = deleted.chain(returned).collect();
-        changes.iter().for_each(|change| self.insert(change));
-        changes
-    }
-
-    /// Returns the keys that begin with `prefix` and are missing or outdated in the store, each with
-    /// its value here and its revision there; zero if it is missing.
-    pub fn lost_in_store(&self, prefix: &str) -> Vec<(String, Bytes, StoreRevision)> {
-        let missing = self.unconfirmed.missing.iter();
-        let missing = missing.map(|key| (key, StoreRevision::ZERO));
-        let outdated = self.outdated_in_store.iter();
-        let outdated = outdated.filter_map(|key| Some((key, self.revision_of(key)?)));
-        let lost = missing
-            .chain(outdated)
-            .filter(|(key, _)| key.starts_with(prefix));
-        lost.filter_map(|(key, at)| Some((key.clone(), self.get(key)?.clone(), at)))
-            .collect()
-    }
-
     /// Records that a full list was read at `at`. A peer whose revision is not past the local
     /// revision before the list misses no deletion and need not be sent a full copy.
     fn record_gap(&mut self, at: StoreRevision) {
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Returns the prefix of the keys of backend servers' entries.
+    pub fn server_prefix(&self) -> &'static str {
+        self.dialect.keys.server_prefix
+    }
+
     /// Returns whether `value` of a key is from an earlier time than `held`, judged by the values. A
     /// store that has lost its latest changes returns such values in newer revisions.
     pub fn is_outdated(&self, key: &str, held: &Bytes, value: &Bytes) -> bool {
--- a/crates/edge/tests/store_eras.rs
+++ b/crates/edge/tests/store_eras.rs
@@ -216,16 +216,94 @@
     assert_eq!(upstream.started_at, Some(Millis(2_000)));
 }
 
-/// Guards against never using a server again whose entry had expired before the loss.
+/// Guards against sending to an ended server when its returned entry is taken away only after the wait.
 #[test]
-fn a_returned_server_is_used_once_its_entry_was_not_removed_again() {
+fn a_returned_server_is_not_used_before_its_entry_is_written_again() {
     let vm = vm(&[ready(30)]);
     vm.watch(1, delete(SERVER, 51));
     vm.restore(2, &[ready(30)]);
     vm.end_wait();
+    assert_eq!(vm.servers(), 0);
+    vm.restore(2, &[ready(30)]);
+    vm.end_wait();
+    assert_eq!(vm.servers(), 0);
+    vm.restore(3, &[ready(30)]);
+    vm.end_wait();
+    assert_eq!(vm.servers(), 0);
+}
+
+/// Guards against taking the entry that an ended server wrote before the lost ones for a new one.
+#[test]
+fn a_server_that_returns_with_an_earlier_entry_is_not_used() {
+    let vm = vm(&[ready(30)]);
+    vm.watch(1, ready(51));
+    vm.watch(1, delete(SERVER, 52));
+    vm.restore(2, &[ready(30)]);
+    assert_eq!(vm.servers(), 0);
+    vm.end_wait();
+    assert_eq!(vm.servers(), 0);
+    vm.watch(2, ready(41));
     assert_eq!(vm.servers(), 1);
 }
 
+/// Guards against never using a server again whose entry had expired before the loss.
+#[test]
+fn a_returned_server_is_used_once_its_entry_is_written_again() {
+    for waits in [false, true] {
+        let vm = vm(&[ready(30)]);
+        vm.watch(1, delete(SERVER, 51));
+        vm.restore(2, &[ready(30)]);
+        if waits {
+            vm.end_wait();
+        }
+        vm.watch(2, ready(41));
+        assert_eq!(vm.servers(), 1);
+        vm.end_wait();
+        assert_eq!(vm.servers(), 1);
+    }
+}
+
+/// Guards against using an ended server on a VM that starts after the loss and reads the store later.
+#[test]
+fn a_vm_that_starts_after_the_loss_does_not_use_a_returned_server() {
+    let one = vm(&[ready(30)]);
+    one.watch(1, delete(SERVER, 51));
+    one.restore(2, &[ready(30)]);
+    let clock = TestClock::default();
+    let (feed, state) = feed(&clock);
+    let started = Vm { clock, feed, state };
+    started.hear();
+    let copy = one.feed.mirror().snapshot();
+    started
+        .feed
+        .apply_snapshot(copy, revision(2, RESTORED), false);
+    let unconfirmed = one.feed.mirror().unconfirmed().clone();
+    started.feed.extend_unconfirmed(unconfirmed);
+    started.end_wait();
+    started.restore(2, &[ready(30)]);
+    assert_eq!(started.servers(), 0);
+    started.watch(2, ready(41));
+    assert_eq!(started.servers(), 1);
+}
+
+/// Guards against using an ended server on a VM that enters the era by a peer and reads the store later.
+#[test]
+fn a_vm_that_enters_the_era_by_a_peer_does_not_use_a_returned_server() {
+    let [one, other] = std::array::from_fn(|_| vm(&[ready(30)]));
+    for vm in [&one, &other] {
+        vm.watch(1, delete(SERVER, 51));
+    }
+    one.restore(2, &[ready(30)]);
+    other
+        .feed
+        .apply_changes(Vec::new(), revision(2, RESTORED), true);
+    let unconfirmed = one.feed.mirror().unconfirmed().clone();
+    other.feed.extend_unconfirmed(unconfirmed);
+    other.end_wait();
+    other.restore(2, &[ready(30)]);
+    assert_eq!(other.servers(), 0);
+}
+
 /// Guards against removing servers whose entries are lost before they can write them again.
 #[test]
 fn a_lost_server_is_kept_until_it_had_time_to_write_its_entry() {
--- a/crates/edge/tests/support/loss_model.rs
+++ b/crates/edge/tests/support/loss_model.rs
@@ -436,7 +436,7 @@
 
 fn new_mirror(way: Way) -> Mirror {
     match way {
-        Way::ErasAndWait => Mirror::new(Rc::new(is_outdated)),
+        Way::ErasAndWait => Mirror::new(Rc::new(is_outdated)).with_renewed_prefix("servers/"),
         _ => Mirror::default(),
     }
 }
