Tell callers rejected by free servers to return at once

Cause: servers that reject half of what they get have no queue, but callers were told to wait as if they had, and came back after their latency target. Change: where every send was rejected by a server expected to have a free slot, the caller is told 0.1 to 0.2 s, without a reservation.

--- a/crates/edge/src/admission/returns.rs
+++ b/crates/edge/src/admission/returns.rs
@@ -306,6 +306,11 @@
             count(cx, call, "refused-again", 1);
             refusal.retry_after
         }
+        (true, false) if history.was_rejected_by_free_servers() => {
+            count(cx, call, "at-once", 1);
+            let spread = cx.rng.borrow_mut().u64(..=MIN_RETRY_AFTER.0);
+            MIN_RETRY_AFTER + Millis(spread)
+        }
         (true, false) => reserve(cx, call, refusal),
     };
     history.told_return = Some(ReturnRecord {
@@ -334,8 +339,9 @@
             best.service_ms,
         ),
         None => {
-            let service_times = &call.state.service_times;
-            let service_ms = service_times.expected_ms(&cx.region, true, target.0 as f64);
+            let service_ms = call_selection::with_service_times(cx, call, |times| {
+                times.expected_ms(&cx.region, true, target.0 as f64)
+            });
             // The servers that rejected the request had at least one request in each slot.
             (service_ms, service_ms)
         }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -326,6 +326,12 @@
         }
     }
 
+    /// Returns whether the request was rejected only by servers that were expected to have a free
+    /// slot. They don't lack capacity, so waiting for it would not help the caller.
+    pub(crate) fn was_rejected_by_free_servers(&self) -> bool {
+        !self.sends.is_empty() && self.sends.iter().all(SendRecord::was_rejected_while_free)
+    }
+
     /// Returns whether any send reached a server.
     pub(crate) fn was_delivered(&self) -> bool {
         self.delivered > 0
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -33,6 +33,8 @@
     upstream: UpstreamName,
     region: RegionName,
     result: &'static str,
+    /// Whether the server stated that it did not run the request.
+    is_rejected: bool,
     cause: &'static str,
     is_warm: bool,
     has_free_slot: bool,
@@ -69,6 +71,7 @@
             upstream: upstream.id.clone(),
             region: upstream.region.clone(),
             result: outcome.label(),
+            is_rejected: matches!(outcome, SendOutcome::NotRun(_)),
             cause,
             is_warm: candidate.is_warm,
             has_free_slot: candidate.has_free_slot,
@@ -80,6 +83,13 @@
     }
 }
 
+impl SendRecord {
+    /// Returns whether a server rejected the request although it was expected to have a free slot.
+    pub(crate) fn was_rejected_while_free(&self) -> bool {
+        self.has_free_slot && self.is_rejected
+    }
+}
+
 /// Counts a finished request in the metrics, and logs it if it failed, was late or is sampled.
 pub(crate) fn record_end(
     cx: &EdgeContext,
