Order requests for busy servers by urgency and fair share

Cause: a request is refused when its best server would answer after the latency target, whoever sends it. Priorities of routes and accounts are decoded and not used, and one account's burst takes the slots of all others.

Change: where load control and the mechanism `admission` are on, a request that finds no free slot is admitted to the queue by urgency, then by its account's max-min share of slot time, then by its own slot time. Rejections of the more urgent shorten the queue that is left to the less urgent; a quarter of these is admitted anyway. The state is per service on each VM, without messages. Metrics, a log line for each rejection, `GET /admission` and `heatherknot admission` show what is decided. Otherwise the decision is as before. `is_returning` of a contender is false until reserved returns set it.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -49,6 +49,8 @@
     Rejected,
     /// Lists the request limits that backend servers state.
     Limits,
+    /// Shows which requests get the slots of busy servers.
+    Admission,
     /// Lists the rollouts of services' versions.
     Rollouts,
     /// Allows rejected requests to run again.
@@ -110,7 +112,7 @@
 }
 
 /// Every command, in the order of [`Command`], which is also that of the help.
-pub static COMMANDS: [CommandSpec; 24] = [
+pub static COMMANDS: [CommandSpec; 25] = [
     spec(
         Command::Get,
         "get",
@@ -287,6 +289,14 @@
         &[],
         "List the backend servers that state how many requests per second they take, what they got from the daemons asked and what was held back; ADDRESS is a daemon's for metrics.",
     ),
+    spec(
+        Command::Admission,
+        "admission",
+        "ADDRESS...",
+        (1, MAX_DAEMONS),
+        &[],
+        "Show requests for slots by service and urgency, why some were rejected, and the accounts over their share, in the last two seconds; ADDRESS is a daemon's for metrics.",
+    ),
     spec(
         Command::Rollouts,
         "rollouts",
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! Implementations of the commands.
 
 mod accounts;
+mod admission;
 mod change;
 mod key;
 mod limits;
@@ -40,6 +41,7 @@
         Command::Losses => return losses::losses(invocation),
         Command::Accounts => return accounts::accounts(invocation),
         Command::Rejected => return rejected::rejected(invocation),
+        Command::Admission => return admission::admission(invocation),
         Command::Limits => return limits::limits(invocation),
         Command::Rollouts => return rollouts::rollouts(invocation),
         Command::Release => return rejected::release(invocation, env),
--- a/crates/edge/examples/choice_bench.rs
+++ b/crates/edge/examples/choice_bench.rs
@@ -3,12 +3,14 @@
 //! `cargo run --release --locked -p heatherknot-edge --example choice_bench` prints, for each
 //! number of servers, the median and the range over rounds of one selection where the first server
 //! of the rank is free, of one where it is full, and of the work of a VM that hands the request
-//! over.
+//! over; then those of one admission decision with 1,000 client accounts.
 
 use std::hint::black_box;
 use std::rc::Rc;
 use std::time::Instant;
 
+use heatherknot_edge::admission::control::{AdmissionControl, Contender};
+use heatherknot_edge::admission::urgency::Urgency;
 use heatherknot_edge::registration::Registration;
 use heatherknot_edge::selection::{Locality, SelectionParams, first_ranked, select};
 use heatherknot_edge::service_times::ServiceTimes;
@@ -54,6 +56,36 @@
     [rounds[0], rounds[ROUNDS / 2], rounds[ROUNDS - 1]]
 }
 
+/// Returns the time of one admission decision, a millisecond after the one before it, with four
+/// urgencies and requests of all `accounts`.
+fn time_admission(accounts: u64) -> [f64; 3] {
+    let admission = AdmissionControl::default();
+    let names: Vec<AccountName> = (0..accounts)
+        .map(|account| format!("account-{account}").into())
+        .collect();
+    let contender = |request: u64| Contender {
+        urgency: Urgency {
+            priority: (request % 4) as u32,
+            route: 0,
+        },
+        account: Some(names[(request / 4 % accounts) as usize].clone()),
+        slot_ms: 250.0,
+        response_ms: 400.0 + (request % 7) as f64 * 50.0,
+        waiting: 3.0,
+        spent_ms: 0.0,
+        target_ms: 600.0,
+        left_ms: 2_500.0,
+        is_returning: false,
+    };
+    let mut request = 0;
+    let mut decide = |_| {
+        request += 1;
+        black_box(admission.decide(&contender(request), Millis(request)));
+    };
+    (0..4 * accounts).for_each(&mut decide);
+    time(decide)
+}
+
 fn main() {
     let clock = Clock::new(|| Millis(0));
     let (region, domain) = ("north".into(), "north-1".into());
@@ -101,4 +133,5 @@
         drop(busy);
         println!("{count:>6} servers: free {free:.1?}, full {full:.1?}, handed over {by_rank:.1?}");
     }
+    println!("admission, 1,000 accounts: {:.1?}", time_admission(1_000));
 }
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -7,6 +7,8 @@
 use heatherknot_types::prelude::*;
 
 use crate::accounts::AllowedRegions;
+use crate::admission::control::RejectCause;
+use crate::admission::gate::{self, Rejection};
 use crate::call::Call;
 use crate::context::EdgeContext;
 use crate::hand_over;
@@ -45,6 +47,8 @@
     Limit(UpstreamName, f64),
     /// The server's backoff, which is the first to end, and the rest of it.
     Backoff(UpstreamName, Millis),
+    /// The admission to busy servers.
+    Admission(Box<Rejection>),
 }
 
 impl Refusal {
@@ -121,22 +125,41 @@
     // A response after the latency target is worth little, and the work on it would make the next
     // requests late as well. A request that would have to wait that long is refused at once.
     let spent = now.since(call.started).0 as f64;
-    let is_late = best.response_ms + spent > max_completion_ms(cx, call, &best, now);
+    let target_ms = max_completion_ms(cx, call, &best, now);
+    let is_late = best.response_ms + spent > target_ms;
     // A free server gets the request even if it is expected to finish late: the estimate may stem
     // from other routes' requests, and a refusal would leave the server idle.
-    let is_useless = best.response_ms > left.0 as f64 * USEFUL_FRACTION;
+    let useful_ms = left.0 as f64 * USEFUL_FRACTION;
+    let is_useless = best.response_ms > useful_ms;
+    // A retry was admitted before.
+    if gate::is_on(cx) && excluded.tried.is_empty() {
+        return match gate::check(cx, call, &best, target_ms, useful_ms) {
+            Ok(()) => Ok(best),
+            Err(rejection) => Err(Refusal {
+                cause: rejection.cause.text(),
+                held_back: Some(HeldBack::Admission(rejection)),
+                ..busy(cx, call, excluded, best)
+            }),
+        };
+    }
     if !best.has_free_slot && (is_late || is_useless) && cx.switches.is_on(Mechanism::Refusal) {
-        let wait = (best.response_ms - best.service_ms).max(0.0);
-        let retry_after = Millis(wait as u64).min(Millis(left.0 / 3));
-        return Err(Refusal {
-            best: Some(best),
-            is_cut_off: is_cut_off(cx, call, excluded),
-            ..refuse("every backend server is busy for too long", retry_after)
-        });
+        return Err(busy(cx, call, excluded, best));
     }
     Ok(best)
 }
 
+/// Refuses a request whose best server is busy.
+fn busy(cx: &EdgeContext, call: &Call, excluded: &Exclusions<'_>, best: Candidate) -> Refusal {
+    let left = call.time_left(cx.now());
+    let wait = (best.response_ms - best.service_ms).max(0.0);
+    let retry_after = Millis(wait as u64).min(Millis(left.0 / 3));
+    Refusal {
+        best: Some(best),
+        is_cut_off: is_cut_off(cx, call, excluded),
+        ..refuse(RejectCause::Busy.text(), retry_after)
+    }
+}
+
 /// Refuses a request that no server can get.
 fn no_server(cx: &EdgeContext, call: &Call, excluded: &Exclusions<'_>) -> Refusal {
     match is_cut_off(cx, call, excluded) {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -11,6 +11,7 @@
 use heatherknot_types::prelude::*;
 use prometheus::Registry;
 
+use crate::admission::control::AdmissionControl;
 use crate::budget::RetryBudget;
 use crate::cold_sends::ColdSends;
 use crate::dialect::Dialect;
@@ -153,6 +154,8 @@
     pub limit_returns: RefCell<ReturnSchedule>,
     /// When callers refused because of backoffs are to retry.
     pub backoff_returns: RefCell<ReturnSchedule>,
+    /// Which requests may wait for slots of busy servers.
+    pub admission: AdmissionControl,
 }
 
 impl EdgeContext {
@@ -177,6 +180,7 @@
                 cold_sends: RefCell::default(),
                 limit_returns: RefCell::default(),
                 backoff_returns: RefCell::default(),
+                admission: AdmissionControl::default(),
             })
         });
         Rc::clone(state)
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -20,6 +20,8 @@
 use prometheus::{Registry, TextEncoder};
 use snafu::{ResultExt, Snafu};
 
+use crate::admission;
+use crate::admission::status::ADMISSION_PATH;
 use crate::context::EdgeContext;
 use crate::dialect::Dialect;
 use crate::feed::Feed;
@@ -575,6 +577,7 @@
             match req.head.path() {
                 ACCOUNTS_PATH => accounts_page(&cx),
                 REJECTED_PATH | RELEASE_PATH => poison::status::handle(&cx, req).await,
+                ADMISSION_PATH => admission::status::page(&cx),
                 LIMITS_PATH => request_limit::status::page(&cx),
                 ROLLOUTS_PATH => rollout::status::page(&cx),
                 _ => metrics_page(&cx),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -104,8 +104,8 @@
     }
 }
 
-/// Metrics of a daemon. Label values are service names, and outcomes and causes from the code,
-/// never anything that a caller sends.
+/// Metrics of a daemon. Label values are service names and priorities of the configuration, and
+/// outcomes and causes from the code, never anything that a caller sends.
 pub struct EdgeMetrics {
     /// Requests by service and outcome.
     pub requests: IntCounterVec,
@@ -129,6 +129,8 @@
     pub relayed: IntCounterVec,
     /// Refusals by service and cause.
     pub refusals: IntCounterVec,
+    /// Requests whose best backend server was busy, by service, urgency and verdict.
+    pub admission: IntCounterVec,
     /// Requests that were not admitted, by cause.
     pub unrouted: IntCounterVec,
     /// Calls to the store by result.
@@ -188,6 +190,11 @@
                 "Refused requests by service and cause",
                 &["service", "cause"],
             )?,
+            admission: counters(
+                "heatherknot_admission_total",
+                "Requests for busy servers by service, urgency and verdict",
+                &["service", "urgency", "verdict"],
+            )?,
             unrouted: counters(
                 "heatherknot_unrouted_total",
                 "Requests that got no further than their route, by cause",
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -13,6 +13,7 @@
 use log::info;
 
 use crate::accounts::Account;
+use crate::admission::gate::Rejection;
 use crate::attempt::SendOutcome;
 use crate::call::{AdmitError, Call};
 use crate::call_selection::HeldBack;
@@ -117,6 +118,7 @@
         Some(HeldBack::Backoff(upstream, left)) => {
             info!(id, upstream:% = upstream, left_ms = left.0; "request held back by the backoff of a backend server");
         }
+        Some(HeldBack::Admission(rejection)) => log_rejection(id, rejection),
         None => {}
     }
     let account = call
@@ -203,6 +205,15 @@
         "request over its account's limit");
 }
 
+fn log_rejection(id: &str, rejection: &Rejection) {
+    let contender = &rejection.contender;
+    info!(id, cause = rejection.cause.text(), urgency:% = contender.urgency,
+        account_share = rejection.account_share, slot_ms = contender.slot_ms as u64,
+        expected_ms = (contender.response_ms + contender.spent_ms) as u64,
+        allowed_ms = contender.target_ms as u64, left_ms = contender.left_ms as u64;
+        "request rejected for lack of slots");
+}
+
 fn log_send(id: &str, number: usize, sent: &SendRecord) {
     info!(id, send = number, at_ms = sent.started_after.0, took_ms = sent.took.0, upstream:% = sent.upstream,
         region:% = sent.region, result = sent.result, cause = sent.cause, warm = sent.is_warm,
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod admission_model;
 pub mod cut_model;
 pub mod limit_model;
 pub mod poison_model;
