--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -11,6 +11,7 @@
 use heatherknot_types::prelude::*;
 use prometheus::Registry;
 
+use crate::admission::control::AdmissionControl;
 use crate::admission::returns::ReturnBook;
 use crate::budget::RetryBudget;
 use crate::cold_sends::ColdSends;
@@ -162,6 +163,8 @@
     pub backoff_returns: RefCell<ReturnSchedule>,
     /// When callers refused because all servers are busy are to retry.
     pub returns: RefCell<ReturnBook>,
+    /// Which requests may wait for slots of busy servers.
+    pub admission: AdmissionControl,
 }
 
 impl EdgeContext {
@@ -188,6 +191,7 @@
                 limit_returns: RefCell::default(),
                 backoff_returns: RefCell::default(),
                 returns: RefCell::default(),
+                admission: AdmissionControl::default(),
             })
         });
         Rc::clone(state)
