--- a/crates/edge/src/admission/fair_share.rs
+++ b/crates/edge/src/admission/fair_share.rs
@@ -107,8 +107,11 @@
         }
         let accounts = self.accounts.borrow();
         let admitted = accounts.values().map(Usage::admitted_ms).sum();
-        let asked = accounts.values().map(Usage::asked_ms).collect();
-        let share = max_min_share(admitted, asked);
+        let asked: Vec<f64> = accounts.values().map(Usage::asked_ms).collect();
+        let share = match asked.len() {
+            0 | 1 => f64::INFINITY,
+            _ => max_min_share(admitted, asked),
+        };
         self.share.set(Some((share, now)));
         share
     }
--- a/crates/edge/tests/admission.rs
+++ b/crates/edge/tests/admission.rs
@@ -350,3 +350,28 @@
         }
     }
 }
+
+/// Guards against rejections for an unfair share in a deployment without client accounts, whose
+/// requests all count as one account.
+#[test]
+fn requests_without_accounts_are_never_over_their_share() {
+    let control = AdmissionControl::default();
+
+    for now in 0..4_000 {
+        let request = Contender {
+            account: None,
+            response_ms: if now % 3 == 0 { 1_200.0 } else { 900.0 },
+            waiting: 3.0,
+            ..contender("none")
+        };
+        let verdict = control.decide(&request, Millis(now));
+        let is_over_share = matches!(
+            verdict,
+            Verdict::Reject {
+                cause: RejectCause::OverShare,
+                ..
+            }
+        );
+        assert!(!is_over_share, "{verdict:?} at {now} ms");
+    }
+}
