Tell no refused caller more than a third of its time

Cause: a caller over its account's limit was told up to 5 s, and refusals with a fixed time 0.5 s, whatever the caller had left; it honours a third. Change: with returns on, the time told is cut to a third of the caller's, in refusals of admitted requests and, if the caller states its time, of those over the account's limit. Unchanged with load control off. Result: tests returns (11), quota (11, 1 ignored), admission (9, 1 ignored) and decisions (14) pass. The new test covers the bound, not the two places that use it.

--- a/crates/edge/src/admission/returns.rs
+++ b/crates/edge/src/admission/returns.rs
@@ -230,6 +230,20 @@
     service_ms / (slots * RETURN_SHARE)
 }
 
+/// Returns the longest time that a caller with `left` until it gives up honours.
+pub fn longest_honoured(left: Millis) -> Millis {
+    Millis(left.0 / HONOURED_DIVISOR)
+}
+
+/// Shortens the time told to a caller that is over its account's limit to what the caller honours,
+/// if returns are on and the caller states its time left.
+pub(crate) fn shorten_over_limit(cx: &EdgeContext, told: Millis, left: Option<Millis>) -> Millis {
+    match left {
+        Some(left) if is_on(cx) => told.min(longest_honoured(left)),
+        _ => told,
+    }
+}
+
 fn is_on(cx: &EdgeContext) -> bool {
     cx.load_control.is_on() && cx.switches.is_on(Mechanism::Returns)
 }
@@ -313,6 +327,8 @@
         }
         (true, false) => reserve(cx, call, refusal),
     };
+    let left = call.caller_deadline.since(cx.now());
+    let retry_after = retry_after.min(longest_honoured(left));
     history.told_return = Some(ReturnRecord {
         retry_after,
         is_return: call.is_returning || refusal.return_time == ReturnTime::Kept,
@@ -331,7 +347,7 @@
 fn reserve(cx: &EdgeContext, call: &Call, refusal: &Refusal) -> Millis {
     let now = cx.now();
     let left = call.caller_deadline.since(now);
-    let longest = Millis(left.0 / HONOURED_DIVISOR) - HONOURED_MARGIN;
+    let longest = longest_honoured(left) - HONOURED_MARGIN;
     let target = call.route.latency_target;
     let (wait_ms, service_ms) = match &refusal.best {
         Some(best) => (
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -10,6 +10,7 @@
 use http::header::HOST;
 
 use crate::accounts::{Account, AllowedRegions};
+use crate::admission::returns;
 use crate::catalog::{Catalog, Route};
 use crate::context::{EdgeContext, ServiceState};
 use crate::hand_over::{self, HandOverHeader, Purpose};
@@ -322,8 +323,7 @@
         regions,
     } = route_request(cx, &mut head, handed.is_some())?;
     if handed.is_none() {
-        let is_return = is_probable_return(cx, &route, &head);
-        enforce_account_limit(cx, account.as_ref(), is_return)?;
+        enforce_account_limit(cx, account.as_ref(), &route, &head)?;
     }
     let service = match &handed {
         Some(header) => allowed_service(&route, &header.service),
@@ -404,8 +404,10 @@
 fn enforce_account_limit(
     cx: &EdgeContext,
     account: Option<&Arc<Account>>,
-    is_return: bool,
+    route: &Route,
+    head: &RequestHead,
 ) -> Result<(), AdmitError> {
+    let is_return = is_probable_return(cx, route, head);
     let Some(account) = account.filter(|_| cx.switches.is_on(Mechanism::Quota)) else {
         return Ok(());
     };
@@ -419,7 +421,14 @@
     };
     match verdict {
         Verdict::Admitted => Ok(()),
-        Verdict::OverLimit(over) => Err(AdmitError::OverLimit(Arc::clone(account), over)),
+        Verdict::OverLimit(over) => {
+            let left = stated_time_left(cx, head);
+            let over = OverLimit {
+                retry_after: returns::shorten_over_limit(cx, over.retry_after, left),
+                ..over
+            };
+            Err(AdmitError::OverLimit(Arc::clone(account), over))
+        }
     }
 }
 
--- a/crates/edge/src/quota/meter.rs
+++ b/crates/edge/src/quota/meter.rs
@@ -33,8 +33,9 @@
 /// Delay after which a caller may retry on a VM without a current answer, in seconds. A VM that has
 /// started gets one within half a second.
 const RETRY_AFTER_WITHOUT_ANSWER_S: f64 = 0.5;
-/// Credit that a VM needs to admit a return, and the most that returns leave to new requests. All VMs together then admit
-/// at most half a request per VM beyond what an even spread admits at any time.
+/// Credit that a VM needs to admit a return, and the most that returns leave to new requests. All
+/// VMs together then admit at most half a request per VM beyond what an even spread admits at any
+/// time.
 const RETURN_CREDIT: f64 = 1.5;
 /// Maximum number of accounts in the table; at the limit the table is cleared. Bounds memory over
 /// many changes of the configuration, at 100 bytes per account.
--- a/crates/edge/tests/returns.rs
+++ b/crates/edge/tests/returns.rs
@@ -5,7 +5,7 @@
 
 use heatherknot_edge::admission::returns::{
     CLAIM_WINDOW, Caller, Claim, MAX_RESERVATIONS, ReturnBook, ReturnParams, ToldReturn,
-    earliest_return,
+    earliest_return, longest_honoured,
 };
 use heatherknot_types::prelude::*;
 use support::return_model::{HOMES, Outcome, Rule, most_in_100_ms, play, room_in_100_ms};
@@ -214,3 +214,12 @@
     assert_eq!(earliest(50), Millis(150));
     assert!(earliest(200) >= Millis(1_000));
 }
+
+/// Guards against callers that are told to wait for longer than they do: they give up, or return all
+/// at once at a third of their time.
+#[test]
+fn no_caller_is_told_more_than_a_third_of_its_time() {
+    for (left, longest) in [(0, 0), (2, 0), (900, 300), (8_000, 2_666)] {
+        assert_eq!(longest_honoured(Millis(left)), Millis(longest));
+    }
+}
