Keep work estimates finite, and show them in metrics and the log

Cause: a time of 0 ms, of a quick route or after division by a machine's factor, kept a quantile at zero for good, and ratios to it were infinite or not a number, so that a server counted as hanging. Change: times count as 1 ms at least; a route that is not sticky has one time and no first requests. Metrics heatherknot_load_control, heatherknot_first_requests_total and heatherknot_slot_seconds; the line "request sent" has machine_factor where load control is on, and is unchanged elsewhere. The metrics and the log field have no test of their own.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -24,7 +24,7 @@
 use crate::selection::Candidate;
 use crate::switches::Mechanism;
 use crate::upstream::{InFlightGuard, ServerLoad};
-use crate::work_profile::FinishedRun;
+use crate::work_profile;
 
 /// Longest response body, in bytes, that is read completely before the caller gets its first byte.
 /// If a short response breaks off, another server can then still answer the request.
@@ -466,7 +466,7 @@
     if call_selection::knows_work(cx) {
         let slowness = candidate
             .has_free_slot
-            .then(|| record_run(cx, call, candidate, took));
+            .then(|| work_profile::record_run(cx, call, candidate, took));
         upstream.record_success(call.object, slowness.flatten(), now);
         return;
     }
@@ -483,20 +483,3 @@
     });
     upstream.record_success(call.object, slowness.flatten(), now);
 }
-
-/// Records the time of a run in the service's work profile. Returns its time relative to the typical
-/// one, if that is known.
-fn record_run(cx: &EdgeContext, call: &Call, candidate: &Candidate, took: Millis) -> Option<f64> {
-    let upstream = &candidate.upstream;
-    let factor = match cx.switches.is_on(Mechanism::MachineSpeed) {
-        true => upstream.machine.last_stated(),
-        false => 1.0,
-    };
-    let run = FinishedRun {
-        region: &upstream.region,
-        knew_object: candidate.knows_object,
-        took: Millis((took.0 as f64 / factor) as u64),
-        latency_target: call.route.latency_target,
-    };
-    call.state.work.record(&call.route.name, &run)
-}
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -134,6 +134,40 @@
     }
 }
 
+/// Metrics of load control and of the estimates of requests' work.
+pub struct WorkMetrics {
+    /// Whether load control is on.
+    pub load_control: IntGauge,
+    /// First requests of this VM for an object at a backend server, by service and by whether the
+    /// object turned out cached.
+    pub first_requests: IntCounterVec,
+    /// Mean time that a request occupies a slot, in seconds, by service.
+    pub slot_seconds: GaugeVec,
+}
+
+impl WorkMetrics {
+    fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            load_control: register_gauge(
+                registry,
+                "heatherknot_load_control",
+                "Whether load control is on, 1 or 0",
+            )?,
+            first_requests: register_counters(
+                registry,
+                "heatherknot_first_requests_total",
+                "First requests for an object at a backend server, by service and as cached or uncached",
+                &["service", "object"],
+            )?,
+            slot_seconds: register_gauges(
+                registry,
+                "heatherknot_slot_seconds",
+                "Mean time that a request occupies a slot of a backend server, by service",
+            )?,
+        })
+    }
+}
+
 /// Metrics of a VM's copy of the store's keys.
 pub struct StoreCopyMetrics {
     /// Era of the store.
@@ -173,6 +207,8 @@
     pub backpressure: BackpressureMetrics,
     /// Metrics of request limits.
     pub limits: LimitMetrics,
+    /// Metrics of load control and of work estimates.
+    pub work: WorkMetrics,
     /// Metrics of returning callers.
     pub returns: ReturnMetrics,
     /// Requests that a backend server was running when it crashed, by service.
@@ -231,6 +267,7 @@
             retries: register_retries(registry)?,
             backpressure: BackpressureMetrics::register(registry)?,
             limits: LimitMetrics::register(registry)?,
+            work: WorkMetrics::register(registry)?,
             returns: ReturnMetrics::register(registry)?,
             requests_at_server_crash: counters(
                 "heatherknot_requests_at_server_ends_total",
@@ -240,11 +277,7 @@
             servers_reached: register_servers_reached(registry)?,
             handed_over: register_handed_over(registry)?,
             home: HomeMetrics::register(registry)?,
-            relayed: counters(
-                "heatherknot_relayed_total",
-                "Requests relayed to VMs that reach their servers, by reason and result",
-                &["reason", "result"],
-            )?,
+            relayed: register_relayed(registry)?,
             refusals: counters(
                 "heatherknot_refusals_total",
                 "Refused requests by service and cause",
@@ -313,6 +346,15 @@
     )
 }
 
+fn register_relayed(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    register_counters(
+        registry,
+        "heatherknot_relayed_total",
+        "Requests relayed to VMs that reach their servers, by reason and result",
+        &["reason", "result"],
+    )
+}
+
 fn register_servers_reached(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
     register_gauges(
         registry,
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -43,6 +43,9 @@
     load: f64,
     load_age: Millis,
     own_in_flight: u32,
+    /// How long work takes on the server's machine, as a multiple of the usual time, if load control
+    /// is on.
+    machine_factor: Option<f64>,
 }
 
 impl SendRecord {
@@ -80,6 +83,10 @@
             load: candidate.load,
             load_age: candidate.load_age,
             own_in_flight: candidate.own_in_flight,
+            machine_factor: cx
+                .load_control
+                .is_on()
+                .then(|| upstream.machine.last_stated()),
         }
     }
 }
@@ -236,8 +243,15 @@
 }
 
 fn log_send(id: &str, number: usize, sent: &SendRecord) {
+    let Some(machine_factor) = sent.machine_factor else {
+        info!(id, send = number, at_ms = sent.started_after.0, took_ms = sent.took.0, upstream:% = sent.upstream,
+            region:% = sent.region, result = sent.result, cause = sent.cause, warm = sent.is_warm,
+            free = sent.has_free_slot, expected_ms = sent.expected_ms, load = sent.load,
+            load_age_ms = sent.load_age.0, own = sent.own_in_flight; "request sent");
+        return;
+    };
     info!(id, send = number, at_ms = sent.started_after.0, took_ms = sent.took.0, upstream:% = sent.upstream,
         region:% = sent.region, result = sent.result, cause = sent.cause, warm = sent.is_warm,
         free = sent.has_free_slot, expected_ms = sent.expected_ms, load = sent.load,
-        load_age_ms = sent.load_age.0, own = sent.own_in_flight; "request sent");
+        load_age_ms = sent.load_age.0, own = sent.own_in_flight, machine_factor; "request sent");
 }
--- a/crates/edge/src/work_profile.rs
+++ b/crates/edge/src/work_profile.rs
@@ -13,9 +13,13 @@
 
 use heatherknot_types::prelude::*;
 
+use crate::call::Call;
+use crate::context::EdgeContext;
 use crate::ewma::Ewma;
 use crate::quantile::Quantile;
+use crate::selection::Candidate;
 use crate::service_times::ServiceTimes;
+use crate::switches::Mechanism;
 
 /// Weight of one response in the mean time in a slot.
 const SLOT_TIME_WEIGHT: f64 = 0.03;
@@ -26,6 +30,9 @@
 const DEFAULT_HIT_FRACTION: f64 = 0.7;
 /// Quantile of the response times that is taken as the time without queueing.
 const TYPICAL_QUANTILE: f64 = 0.25;
+/// Shortest time that is recorded. An estimate of zero could not grow any more, and a ratio to it is
+/// not a number.
+const MIN_TIME: Millis = Millis(1);
 /// Maximum number of routes per service with times of their own.
 const MAX_ROUTES: usize = 1_024;
 
@@ -53,6 +60,8 @@
 pub struct FinishedRun<'a> {
     /// Region of the backend server.
     pub region: &'a RegionName,
+    /// Whether servers cache what the route's requests need.
+    pub is_sticky: bool,
     /// Whether this VM had sent the object to the server before.
     pub knew_object: bool,
     /// Response time, divided by the speed factor that the machine stated.
@@ -61,6 +70,15 @@
     pub latency_target: Millis,
 }
 
+/// What a finished request showed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunFinding {
+    /// Time relative to the typical one, if that is known.
+    pub slowness: Option<f64>,
+    /// For the first request for an object at a server, whether the object turned out cached.
+    pub first_was_cached: Option<bool>,
+}
+
 impl WorkProfile {
     /// Returns the service times of a route.
     pub fn times(&self, route: &Arc<str>) -> Rc<ServiceTimes> {
@@ -82,7 +100,7 @@
     /// Records a response time of a route, including those of other VMs. Returns the typical one, in
     /// milliseconds.
     pub fn record_response(&self, route: &Arc<str>, took: Millis) -> f64 {
-        let took_ms = took.0 as f64;
+        let took_ms = took.max(MIN_TIME).0 as f64;
         let mut responses = self.responses.borrow_mut();
         if responses.len() >= MAX_ROUTES && !responses.contains_key(route) {
             responses.clear();
@@ -93,19 +111,35 @@
         typical.get().unwrap_or(took_ms)
     }
 
-    /// Records a finished request. Returns its time relative to the typical one, if that is known.
-    pub fn record(&self, route: &Arc<str>, run: &FinishedRun<'_>) -> Option<f64> {
+    /// Records a finished request. Returns what it showed.
+    ///
+    /// Requests of a route that is not sticky take the same time wherever they run, and say nothing
+    /// about what servers have cached.
+    pub fn record(&self, route: &Arc<str>, run: &FinishedRun<'_>) -> RunFinding {
         let times = self.times(route);
+        let took = run.took.max(MIN_TIME);
+        let slowness = times.slowness(run.region, run.knew_object, took);
+        self.slot_time.add(took.0 as f64, SLOT_TIME_WEIGHT);
+        if !run.is_sticky {
+            times.record_run(run.region, true, took);
+            times.record_run(run.region, false, took);
+            return RunFinding {
+                slowness,
+                first_was_cached: None,
+            };
+        }
         let default_limit_ms = run.latency_target.0 as f64 * DEFAULT_HIT_FRACTION;
-        let is_hit = run.knew_object || times.looks_cached(run.region, run.took, default_limit_ms);
-        if !run.knew_object {
+        let is_hit = run.knew_object || times.looks_cached(run.region, took, default_limit_ms);
+        let first_was_cached = (!run.knew_object).then_some(is_hit);
+        if first_was_cached.is_some() {
             self.first_hits
                 .add(f64::from(u8::from(is_hit)), FIRST_HIT_WEIGHT);
         }
-        self.slot_time.add(run.took.0 as f64, SLOT_TIME_WEIGHT);
-        let slowness = times.slowness(run.region, run.knew_object, run.took);
-        times.record_run(run.region, is_hit, run.took);
-        slowness
+        times.record_run(run.region, is_hit, took);
+        RunFinding {
+            slowness,
+            first_was_cached,
+        }
     }
 
     /// Forgets the routes for which `is_current` is false.
@@ -118,3 +152,45 @@
             .retain(|route, _| is_current(route));
     }
 }
+
+/// Records the time of a run in the service's work profile. Returns its time relative to the typical
+/// one, if that is known.
+pub(crate) fn record_run(
+    cx: &EdgeContext,
+    call: &Call,
+    candidate: &Candidate,
+    took: Millis,
+) -> Option<f64> {
+    let upstream = &candidate.upstream;
+    let factor = match cx.switches.is_on(Mechanism::MachineSpeed) {
+        true => upstream.machine.last_stated(),
+        false => 1.0,
+    };
+    let run = FinishedRun {
+        region: &upstream.region,
+        is_sticky: call.route.sticky,
+        knew_object: candidate.knows_object,
+        took: Millis((took.0 as f64 / factor) as u64),
+        latency_target: call.route.latency_target,
+    };
+    let finding = call.state.work.record(&call.route.name, &run);
+    if let Some(was_cached) = finding.first_was_cached {
+        let object = if was_cached { "cached" } else { "uncached" };
+        let labels = [call.service.as_str(), object];
+        let first_requests = &cx.metrics.work.first_requests;
+        first_requests.with_label_values(&labels).inc();
+    }
+    finding.slowness
+}
+
+/// Updates the state of load control and the mean times in a slot.
+pub(crate) fn update_metrics(cx: &EdgeContext) {
+    let metrics = &cx.metrics.work;
+    metrics.load_control.set(i64::from(cx.load_control.is_on()));
+    for (service, state) in cx.services.borrow().iter() {
+        if let Some(slot_ms) = state.work.estimate().slot_ms {
+            let gauge = metrics.slot_seconds.with_label_values(&[service.as_str()]);
+            gauge.set(slot_ms / 1000.0);
+        }
+    }
+}
--- a/crates/edge/tests/work_profile.rs
+++ b/crates/edge/tests/work_profile.rs
@@ -33,6 +33,7 @@
 fn run(region: &RegionName, knew_object: bool, took: Millis) -> FinishedRun<'_> {
     FinishedRun {
         region,
+        is_sticky: true,
         knew_object,
         took,
         latency_target: TARGET,
@@ -245,3 +246,47 @@
     assert_eq!(states(Some(false), true), (false, false));
     assert_eq!(states(Some(true), false), (true, true));
 }
+
+/// Guards against an estimate that stays at zero for good and makes every ratio to it not a number: a
+/// route answered within a millisecond, or so after its time was divided by a machine's factor.
+#[test]
+fn times_below_a_millisecond_leave_all_estimates_finite() {
+    let (checks, region, work) = (route("checks"), region(), WorkProfile::default());
+    for _ in 0..3 {
+        work.record(&checks, &run(&region, true, Millis(0)));
+        work.record_response(&checks, Millis(0));
+    }
+
+    let slowness = work
+        .record(&checks, &run(&region, true, Millis(0)))
+        .slowness;
+    for _ in 0..200 {
+        work.record(&checks, &run(&region, true, Millis(40)));
+    }
+
+    assert_eq!(slowness, Some(1.0));
+    let expected_ms = work.times(&checks).expected_ms(&region, true, 0.0);
+    assert!(expected_ms >= 30.0, "{expected_ms}");
+    assert!(work.record_response(&checks, Millis(40)) > 0.0);
+}
+
+/// Guards against routes without cached objects that are always estimated uncached, at more than
+/// their latency target, and that hide how first requests of other routes turn out.
+#[test]
+fn a_route_that_is_not_sticky_has_one_time_and_says_nothing_about_caches() {
+    let (views, exports, region) = (route("views"), route("exports"), region());
+    let work = profile(&views, UNCACHED);
+    let first_hit_rate = work.estimate().first_hit_rate;
+
+    for _ in 0..40 {
+        let export = FinishedRun {
+            is_sticky: false,
+            ..run(&region, false, CACHED)
+        };
+        assert_eq!(work.record(&exports, &export).first_was_cached, None);
+    }
+
+    assert!((work.estimate().first_hit_rate - first_hit_rate).abs() < 1e-9);
+    let expected_ms = work.times(&exports).expected_ms(&region, false, 0.0);
+    assert!((expected_ms - CACHED.0 as f64).abs() < 1.0, "{expected_ms}");
+}
