Estimate rare routes and other VMs' load by the service, and reserve immediate returns

Cause, found by review: a route without times of its own was estimated by a fraction of its latency target, so its requests were let into queues in which they can't finish; the load of other VMs was kept by route and decayed to zero for rare ones; a server on a slow machine could count as hanging; and callers told to return at once had no reservation, so that they could be refused again.

--- a/crates/edge/src/admission/returns.rs
+++ b/crates/edge/src/admission/returns.rs
@@ -321,11 +321,13 @@
             refusal.retry_after
         }
         (true, false) if history.was_rejected_by_free_servers() => {
-            count(cx, call, "at-once", 1);
-            let spread = cx.rng.borrow_mut().u64(..=MIN_RETRY_AFTER.0);
-            MIN_RETRY_AFTER + Millis(spread)
+            let draw = cx.rng.borrow_mut().f64();
+            reserve(cx, call, &immediate_return(cx, call, draw))
+        }
+        (true, false) => {
+            let params = return_params(cx, call, refusal);
+            reserve(cx, call, &params)
         }
-        (true, false) => reserve(cx, call, refusal),
     };
     let left = call.caller_deadline.since(cx.now());
     let retry_after = retry_after.min(longest_honoured(left));
@@ -343,8 +345,25 @@
     pub(crate) is_return: bool,
 }
 
-/// Reserves a time for the caller of a refused request.
-fn reserve(cx: &EdgeContext, call: &Call, refusal: &Refusal) -> Millis {
+fn urgency(call: &Call) -> u32 {
+    let account_priority = call.account.as_ref().and_then(|account| account.priority);
+    account_priority.unwrap_or(call.route.priority)
+}
+
+/// Returns when a caller may return that servers rejected although they have room: at once, however
+/// many others do.
+fn immediate_return(cx: &EdgeContext, call: &Call, draw: f64) -> ReturnParams {
+    ReturnParams {
+        urgency: urgency(call),
+        earliest: MIN_RETRY_AFTER + Millis((MIN_RETRY_AFTER.0 as f64 * draw) as u64),
+        longest: longest_honoured(call.caller_deadline.since(cx.now())),
+        interval_ms: 0.0,
+        draw,
+    }
+}
+
+/// Returns when a caller may return that has to wait for room.
+fn return_params(cx: &EdgeContext, call: &Call, refusal: &Refusal) -> ReturnParams {
     let now = cx.now();
     let left = call.caller_deadline.since(now);
     let longest = longest_honoured(left) - HONOURED_MARGIN;
@@ -364,20 +383,23 @@
     };
     let spent = now.since(call.started);
     let slots = call_selection::handled_slots(cx, call);
-    let account_priority = call.account.as_ref().and_then(|account| account.priority);
-    let params = ReturnParams {
-        urgency: account_priority.unwrap_or(call.route.priority),
+    ReturnParams {
+        urgency: urgency(call),
         earliest: earliest_return(wait_ms, service_ms, spent, target, longest),
         longest,
         interval_ms: return_interval_ms(slots, service_ms),
         draw: cx.rng.borrow_mut().f64(),
-    };
+    }
+}
+
+/// Reserves a time for the caller of a refused request.
+fn reserve(cx: &EdgeContext, call: &Call, params: &ReturnParams) -> Millis {
     let caller = caller_of(cx, call);
     let told = call
         .state
         .returns
         .borrow_mut()
-        .reserve(caller, &params, now);
+        .reserve(caller, params, cx.now());
     let (event, wait) = match told {
         ToldReturn::Reserved(wait) => ("reserved", wait),
         ToldReturn::Unreserved(wait) => ("unreserved", wait),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -191,8 +191,12 @@
         false => upstream.likely_caches(call.object, now),
     };
     let waited = now.since(sent);
+    let at_usual_speed = match knows_work && cx.switches.is_on(Mechanism::MachineSpeed) {
+        true => Millis((waited.0 as f64 / upstream.machine.factor(now).max(1.0)) as u64),
+        false => waited,
+    };
     let slowness = call_selection::with_service_times(cx, call, |times| {
-        times.slowness(&upstream.region, is_cached, waited)
+        times.slowness(&upstream.region, is_cached, at_usual_speed)
     });
     let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FACTOR) else {
         return;
@@ -395,10 +399,6 @@
         let now = cx.now();
         let others = candidate.upstream.record_load(load, now);
         call.state.service_times.record_other_load(others, now);
-        if call_selection::knows_work(cx) {
-            let times = call.state.work.times(&call.route.name);
-            times.record_other_load(others, now);
-        }
         let is_local = candidate.upstream.region == cx.region;
         call_selection::record_wait(cx, call, is_local, load, now.since(sent));
     }
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -273,7 +273,10 @@
         assigned: call.assigned_server.as_ref().filter(|_| !call.is_isolated),
         is_home,
         placement: None,
-        work: knows_work(cx).then(|| call.state.work.estimate()),
+        work: knows_work(cx).then(|| {
+            let other_load = call.state.service_times.typical_other_load(now);
+            call.state.work.estimate(other_load)
+        }),
     }
 }
 
--- a/crates/edge/src/selection.rs
+++ b/crates/edge/src/selection.rs
@@ -250,7 +250,7 @@
     service_times: &ServiceTimes,
 ) -> bool {
     let own = servers.iter().filter(|u| (params.is_home)(u));
-    let other_load = service_times.typical_other_load(params.now);
+    let other_load = typical_other_load(params, service_times);
     let (load, slots) = own.fold((0.0, 0.0), |(load, slots), u| {
         (
             load + u.load(other_load, params.now),
@@ -309,6 +309,14 @@
     -hash::unit_interval(digest).ln() / (f64::from(upstream.slots.get()) * share)
 }
 
+/// Returns the typical number of requests of other VMs at a server of the service.
+fn typical_other_load(params: &SelectionParams<'_>, service_times: &ServiceTimes) -> f64 {
+    match params.work {
+        Some(work) => work.other_load,
+        None => service_times.typical_other_load(params.now),
+    }
+}
+
 /// Returns the probability that a server has the object cached.
 ///
 /// Without load control, the server to which the object is assigned counts as having it cached. A
@@ -344,9 +352,11 @@
     let hit_rate = hit_rate(params, upstream, is_target, knows_object);
     let is_warm = hit_rate >= 0.5;
     let target = params.latency_target.0 as f64;
-    let warm_ms = service_times.expected_ms(&upstream.region, true, target * DEFAULT_WARM_FRACTION);
-    let cold_ms =
-        || service_times.expected_ms(&upstream.region, false, target * DEFAULT_COLD_FRACTION);
+    let known_slot_ms = params.work.and_then(|work| work.slot_ms);
+    let default_warm_ms = known_slot_ms.unwrap_or(target * DEFAULT_WARM_FRACTION);
+    let default_cold_ms = (target * DEFAULT_COLD_FRACTION).max(known_slot_ms.unwrap_or(0.0));
+    let warm_ms = service_times.expected_ms(&upstream.region, true, default_warm_ms);
+    let cold_ms = || service_times.expected_ms(&upstream.region, false, default_cold_ms);
     let expected_ms = match hit_rate {
         1.0 => warm_ms,
         _ => hit_rate * warm_ms + (1.0 - hit_rate) * cold_ms(),
@@ -354,7 +364,7 @@
     let slots = f64::from(upstream.slots.get());
     let is_on = |mechanism| params.switches.is_on(mechanism);
     let load = match is_on(Mechanism::ToldLoad) {
-        true => upstream.load(service_times.typical_other_load(params.now), params.now),
+        true => upstream.load(typical_other_load(params, service_times), params.now),
         false => f64::from(upstream.in_flight()),
     };
     let slowness = match is_on(Mechanism::Slowness) {
@@ -374,7 +384,7 @@
         false => 1.0,
     };
     let slowness = slowness * machine_factor;
-    let slot_ms = params.work.and_then(|work| work.slot_ms).unwrap_or(warm_ms);
+    let slot_ms = known_slot_ms.unwrap_or(warm_ms);
     let excess = load + 1.0 - slots - LOAD_TOLERANCE;
     let wait_ms = excess.max(0.0) / slots * slot_ms * slowness;
     let service_ms = expected_ms * slowness;
--- a/crates/edge/src/work_profile.rs
+++ b/crates/edge/src/work_profile.rs
@@ -53,6 +53,8 @@
     pub slot_ms: Option<f64>,
     /// Probability that a server has an object cached that this VM has not sent there.
     pub first_hit_rate: f64,
+    /// Typical number of requests of other VMs at a server, whatever their route.
+    pub other_load: f64,
 }
 
 /// A finished request that had found a free slot.
@@ -89,11 +91,17 @@
         Rc::clone(by_route.entry(Arc::clone(route)).or_default())
     }
 
+    /// Returns the mean time for which a request occupies a slot, in milliseconds, if known.
+    pub fn slot_ms(&self) -> Option<f64> {
+        self.slot_time.get()
+    }
+
     /// Returns the estimates for a selection.
-    pub fn estimate(&self) -> WorkEstimate {
+    pub fn estimate(&self, other_load: f64) -> WorkEstimate {
         WorkEstimate {
             slot_ms: self.slot_time.get(),
             first_hit_rate: self.first_hits.get().unwrap_or(1.0),
+            other_load,
         }
     }
 
@@ -188,7 +196,7 @@
     let metrics = &cx.metrics.work;
     metrics.load_control.set(i64::from(cx.load_control.is_on()));
     for (service, state) in cx.services.borrow().iter() {
-        if let Some(slot_ms) = state.work.estimate().slot_ms {
+        if let Some(slot_ms) = state.work.slot_ms() {
             let gauge = metrics.slot_seconds.with_label_values(&[service.as_str()]);
             gauge.set(slot_ms / 1000.0);
         }
--- a/crates/edge/tests/work_profile.rs
+++ b/crates/edge/tests/work_profile.rs
@@ -108,7 +108,7 @@
         7,
         &servers(&clock),
         &work.times(&views),
-        Some(work.estimate()),
+        Some(work.estimate(0.0)),
         None,
     );
 
@@ -132,7 +132,7 @@
         7,
         &servers(&clock),
         &work.times(&views),
-        Some(work.estimate()),
+        Some(work.estimate(0.0)),
         None,
     );
 
@@ -152,7 +152,7 @@
     let clock = TestClock::default().clock();
     let servers = servers(&clock);
     let work = profile(&views, UNCACHED);
-    let (times, estimate) = (work.times(&views), Some(work.estimate()));
+    let (times, estimate) = (work.times(&views), Some(work.estimate(0.0)));
     let placement = ObjectPlacement::default();
     let full = select_at_home(7, &servers, &times, estimate, None).upstream;
     let slots = full.slots.get() + 2;
@@ -189,7 +189,7 @@
     let clock = TestClock::default().clock();
     let servers = servers(&clock);
     let work = profile(&views, UNCACHED);
-    let (times, estimate) = (work.times(&views), Some(work.estimate()));
+    let (times, estimate) = (work.times(&views), Some(work.estimate(0.0)));
     servers.iter().for_each(|u| u.record_object(7, Millis(0)));
     let ranked_first = select_at_home(7, &servers, &times, estimate, None).upstream;
     let slots = ranked_first.slots.get();
@@ -276,7 +276,7 @@
 fn a_route_that_is_not_sticky_has_one_time_and_says_nothing_about_caches() {
     let (views, exports, region) = (route("views"), route("exports"), region());
     let work = profile(&views, UNCACHED);
-    let first_hit_rate = work.estimate().first_hit_rate;
+    let first_hit_rate = work.estimate(0.0).first_hit_rate;
 
     for _ in 0..40 {
         let export = FinishedRun {
@@ -286,7 +286,29 @@
         assert_eq!(work.record(&exports, &export).first_was_cached, None);
     }
 
-    assert!((work.estimate().first_hit_rate - first_hit_rate).abs() < 1e-9);
+    assert!((work.estimate(0.0).first_hit_rate - first_hit_rate).abs() < 1e-9);
     let expected_ms = work.times(&exports).expected_ms(&region, false, 0.0);
     assert!((expected_ms - CACHED.0 as f64).abs() < 1.0, "{expected_ms}");
 }
+
+/// Guards against requests of a rare route that are let into queues in which they can't finish: until
+/// its own times are known, the mean time in a slot of its service stands for them.
+#[test]
+fn a_route_without_times_is_estimated_by_its_service() {
+    let (views, rare) = (route("views"), route("rare"));
+    let clock = TestClock::default().clock();
+    let (work, region) = (WorkProfile::default(), region());
+    for _ in 0..200 {
+        work.record(&views, &run(&region, true, Millis(900)));
+    }
+
+    let chosen = select_at_home(
+        7,
+        &servers(&clock),
+        &work.times(&rare),
+        Some(work.estimate(0.0)),
+        None,
+    );
+
+    assert!(chosen.response_ms >= 800.0, "{}", chosen.response_ms);
+}
