--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -24,7 +24,7 @@
 use crate::selection::Candidate;
 use crate::switches::Mechanism;
 use crate::upstream::{InFlightGuard, ServerLoad};
-use crate::work_profile::FinishedRun;
+use crate::work_profile;
 
 /// Longest response body, in bytes, that is read completely before the caller gets its first byte.
 /// If a short response breaks off, another server can then still answer the request.
@@ -191,8 +191,12 @@
         false => upstream.likely_caches(call.object, now),
     };
     let waited = now.since(sent);
+    let at_usual_speed = match knows_work && cx.switches.is_on(Mechanism::MachineSpeed) {
+        true => Millis((waited.0 as f64 / upstream.machine.factor(now).max(1.0)) as u64),
+        false => waited,
+    };
     let slowness = call_selection::with_service_times(cx, call, |times| {
-        times.slowness(&upstream.region, is_cached, waited)
+        times.slowness(&upstream.region, is_cached, at_usual_speed)
     });
     let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FACTOR) else {
         return;
@@ -395,10 +399,6 @@
         let now = cx.now();
         let others = candidate.upstream.record_load(load, now);
         call.state.service_times.record_other_load(others, now);
-        if call_selection::knows_work(cx) {
-            let times = call.state.work.times(&call.route.name);
-            times.record_other_load(others, now);
-        }
         let is_local = candidate.upstream.region == cx.region;
         call_selection::record_wait(cx, call, is_local, load, now.since(sent));
     }
@@ -466,7 +466,7 @@
     if call_selection::knows_work(cx) {
         let slowness = candidate
             .has_free_slot
-            .then(|| record_run(cx, call, candidate, took));
+            .then(|| work_profile::record_run(cx, call, candidate, took));
         upstream.record_success(call.object, slowness.flatten(), now);
         return;
     }
@@ -483,20 +483,3 @@
     });
     upstream.record_success(call.object, slowness.flatten(), now);
 }
-
-/// Records the time of a run in the service's work profile. Returns its time relative to the typical
-/// one, if that is known.
-fn record_run(cx: &EdgeContext, call: &Call, candidate: &Candidate, took: Millis) -> Option<f64> {
-    let upstream = &candidate.upstream;
-    let factor = match cx.switches.is_on(Mechanism::MachineSpeed) {
-        true => upstream.machine.last_stated(),
-        false => 1.0,
-    };
-    let run = FinishedRun {
-        region: &upstream.region,
-        knew_object: candidate.knows_object,
-        took: Millis((took.0 as f64 / factor) as u64),
-        latency_target: call.route.latency_target,
-    };
-    call.state.work.record(&call.route.name, &run)
-}
