--- a/crates/edge/src/admission/returns.rs
+++ b/crates/edge/src/admission/returns.rs
@@ -14,6 +14,7 @@
 use crate::forward::SendHistory;
 use crate::reply::MIN_RETRY_AFTER;
 use crate::request_limit::return_schedule;
+use crate::request_work;
 use crate::selection::Candidate;
 use crate::switches::Mechanism;
 
@@ -374,7 +375,7 @@
             best.service_ms,
         ),
         None => {
-            let service_ms = call_selection::with_service_times(cx, call, |times| {
+            let service_ms = request_work::with_service_times(cx, call, |times| {
                 times.expected_ms(&cx.region, true, target.0 as f64)
             });
             // The servers that rejected the request had at least one request in each slot.
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -12,19 +12,18 @@
 
 use crate::backpressure;
 use crate::call::Call;
-use crate::call_selection;
 use crate::context::EdgeContext;
 use crate::hand_over;
 use crate::machine_speed;
 use crate::reachability;
 use crate::reachability::diagnosis::{self, Diagnosis};
 use crate::request_limit;
+use crate::request_work;
 use crate::rollout::evidence::RequestKind;
 use crate::rollout::state::{ObservedSend, SendResult};
 use crate::selection::Candidate;
 use crate::switches::Mechanism;
 use crate::upstream::{InFlightGuard, ServerLoad};
-use crate::work_profile;
 
 /// Longest response body, in bytes, that is read completely before the caller gets its first byte.
 /// If a short response breaks off, another server can then still answer the request.
@@ -125,7 +124,7 @@
     ) {
         record_unanswered(cx, call, candidate, sent);
     }
-    if outcome.is_not_run() && !candidate.knows_object && call_selection::knows_work(cx) {
+    if outcome.is_not_run() && !candidate.knows_object && request_work::knows_work(cx) {
         candidate.upstream.forget_object(call.object);
     }
     if let Some(observed) = observed {
@@ -185,7 +184,7 @@
 fn record_unanswered(cx: &EdgeContext, call: &Call, candidate: &Candidate, sent: Millis) {
     let upstream = &candidate.upstream;
     let now = cx.now();
-    let knows_work = call_selection::knows_work(cx);
+    let knows_work = request_work::knows_work(cx);
     let is_cached = match knows_work {
         true => candidate.knows_object,
         false => upstream.likely_caches(call.object, now),
@@ -195,7 +194,7 @@
         true => Millis((waited.0 as f64 / upstream.machine.factor(now).max(1.0)) as u64),
         false => waited,
     };
-    let slowness = call_selection::with_service_times(cx, call, |times| {
+    let slowness = request_work::with_service_times(cx, call, |times| {
         times.slowness(&upstream.region, is_cached, at_usual_speed)
     });
     let Some(slowness) = slowness.filter(|slowness| *slowness >= SLOW_FACTOR) else {
@@ -226,7 +225,7 @@
     backpressure::record_send(cx, upstream);
     let in_flight = upstream.start_request();
     // A server answers further requests for an object quickly as soon as it works on the first one.
-    if call_selection::knows_work(cx) {
+    if request_work::knows_work(cx) {
         upstream.record_object(call.object, sent);
     }
     let options = SendOptions {
@@ -400,7 +399,7 @@
         let others = candidate.upstream.record_load(load, now);
         call.state.service_times.record_other_load(others, now);
         let is_local = candidate.upstream.region == cx.region;
-        call_selection::record_wait(cx, call, is_local, load, now.since(sent));
+        request_work::record_wait(cx, call, is_local, load, now.since(sent));
     }
 }
 
@@ -463,10 +462,10 @@
 fn record_latency(cx: &EdgeContext, call: &Call, candidate: &Candidate, took: Millis) {
     let upstream = &candidate.upstream;
     let now = cx.now();
-    if call_selection::knows_work(cx) {
+    if request_work::knows_work(cx) {
         let slowness = candidate
             .has_free_slot
-            .then(|| work_profile::record_run(cx, call, candidate, took));
+            .then(|| request_work::record_run(cx, call, candidate, took));
         upstream.record_success(call.object, slowness.flatten(), now);
         return;
     }
--- a/crates/edge/src/call_selection.rs
+++ b/crates/edge/src/call_selection.rs
@@ -14,11 +14,11 @@
 use crate::context::EdgeContext;
 use crate::hand_over;
 use crate::request_limit::issuer::permits_per_second;
+use crate::request_work;
 use crate::rollout::state::VersionChoice;
 use crate::selection::{self, Candidate, Locality, SelectionParams, select};
-use crate::service_times::ServiceTimes;
 use crate::switches::Mechanism;
-use crate::upstream::{ServerLoad, Upstream};
+use crate::upstream::Upstream;
 
 /// `retry-after` where no better estimate exists.
 const DEFAULT_RETRY_AFTER: Millis = Millis(500);
@@ -144,7 +144,7 @@
         ..selection_params(cx, call, now, &is_home)
     };
     let locality = locality(cx, call);
-    let best = with_service_times(cx, call, |times| {
+    let best = request_work::with_service_times(cx, call, |times| {
         select(&params, &candidates, times, locality)
     });
     let Some(best) = best else {
@@ -273,52 +273,13 @@
         assigned: call.assigned_server.as_ref().filter(|_| !call.is_isolated),
         is_home,
         placement: None,
-        work: knows_work(cx).then(|| {
+        work: request_work::knows_work(cx).then(|| {
             let other_load = call.state.service_times.typical_other_load(now);
             call.state.work.estimate(other_load)
         }),
     }
 }
 
-/// Records the load that a response from the local region or another one reported, as far as it
-/// decides which objects other regions serve.
-pub(crate) fn record_wait(
-    cx: &EdgeContext,
-    call: &Call,
-    is_local: bool,
-    load: ServerLoad,
-    took: Millis,
-) {
-    if !cx.route(&call.route.name).may_spill_over(cx.switches) {
-        return;
-    }
-    let (spillover, now) = (&call.state.spillover, cx.now());
-    match knows_work(cx) {
-        true => {
-            let typical_ms = call.state.work.record_response(&call.route.name, took);
-            spillover.record_wait(is_local, load.next_wait_ms(typical_ms), now);
-        }
-        false => spillover.record(is_local, load, took, now),
-    }
-}
-
-/// Returns whether estimates distinguish routes and cached objects.
-pub(crate) fn knows_work(cx: &EdgeContext) -> bool {
-    cx.load_control.is_on() && cx.switches.is_on(Mechanism::WorkProfile)
-}
-
-/// Calls `f` with the service times that apply to a request.
-pub(crate) fn with_service_times<T>(
-    cx: &EdgeContext,
-    call: &Call,
-    f: impl FnOnce(&ServiceTimes) -> T,
-) -> T {
-    match knows_work(cx) {
-        true => f(&call.state.work.times(&call.route.name)),
-        false => f(&call.state.service_times),
-    }
-}
-
 /// Returns whether this VM is the home VM of a server.
 fn is_home(cx: &EdgeContext, upstream: &Upstream) -> bool {
     let is_here = upstream.domain == cx.cfg.domain;
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -46,7 +46,7 @@
 use crate::{
     backpressure, call, entry_maintenance, forward, hand_over, locality_update, lookup,
     lost_records, peer_feed, poison, presence, reachability, reply, request_limit, request_log,
-    rollout, round_trip, route_agreement, stop, upstream, work_profile,
+    request_work, rollout, round_trip, route_agreement, stop, upstream,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -515,7 +515,7 @@
             request_limit::status::update_metrics(&cx, &routing_state);
             reachability::update_metrics(&cx, &routing_state);
             backpressure::update_metrics(&cx, &routing_state);
-            work_profile::update_metrics(&cx);
+            request_work::update_metrics(&cx);
             let version = routing_state.catalog().map_or(0, |catalog| catalog.version);
             cx.metrics.catalog_version.set(version as i64);
             lost_records::update_metrics(&cx);
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -30,6 +30,7 @@
 use crate::poison::guard;
 use crate::relay::targets::Tier;
 use crate::reply;
+use crate::request_work;
 use crate::route_agreement::{self, AGREEMENT_HEADER};
 use crate::switches::Mechanism;
 use crate::upstream::{ServerLoad, Upstream};
@@ -401,7 +402,7 @@
     let value = response.headers.get(&cx.dialect.headers.server_load);
     if let Some(load) = value.and_then(|v| ServerLoad::parse(v.to_str().ok()?)) {
         let is_local = to.region == cx.region;
-        call_selection::record_wait(cx, call, is_local, load, cx.now().since(began));
+        request_work::record_wait(cx, call, is_local, load, cx.now().since(began));
     }
     if let Some(bytes) = response
         .body
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -48,6 +48,7 @@
 mod reply;
 pub mod request_limit;
 mod request_log;
+mod request_work;
 pub mod rollout;
 pub mod round_trip;
 pub mod route_agreement;
--- a/crates/edge/src/work_profile.rs
+++ b/crates/edge/src/work_profile.rs
@@ -13,13 +13,9 @@
 
 use heatherknot_types::prelude::*;
 
-use crate::call::Call;
-use crate::context::EdgeContext;
 use crate::ewma::Ewma;
 use crate::quantile::Quantile;
-use crate::selection::Candidate;
 use crate::service_times::ServiceTimes;
-use crate::switches::Mechanism;
 
 /// Weight of one response in the mean time in a slot.
 const SLOT_TIME_WEIGHT: f64 = 0.03;
@@ -160,45 +156,3 @@
             .retain(|route, _| is_current(route));
     }
 }
-
-/// Records the time of a run in the service's work profile. Returns its time relative to the typical
-/// one, if that is known.
-pub(crate) fn record_run(
-    cx: &EdgeContext,
-    call: &Call,
-    candidate: &Candidate,
-    took: Millis,
-) -> Option<f64> {
-    let upstream = &candidate.upstream;
-    let factor = match cx.switches.is_on(Mechanism::MachineSpeed) {
-        true => upstream.machine.last_stated(),
-        false => 1.0,
-    };
-    let run = FinishedRun {
-        region: &upstream.region,
-        is_sticky: call.route.sticky,
-        knew_object: candidate.knows_object,
-        took: Millis((took.0 as f64 / factor) as u64),
-        latency_target: call.route.latency_target,
-    };
-    let finding = call.state.work.record(&call.route.name, &run);
-    if let Some(was_cached) = finding.first_was_cached {
-        let object = if was_cached { "cached" } else { "uncached" };
-        let labels = [call.service.as_str(), object];
-        let first_requests = &cx.metrics.work.first_requests;
-        first_requests.with_label_values(&labels).inc();
-    }
-    finding.slowness
-}
-
-/// Updates the state of load control and the mean times in a slot.
-pub(crate) fn update_metrics(cx: &EdgeContext) {
-    let metrics = &cx.metrics.work;
-    metrics.load_control.set(i64::from(cx.load_control.is_on()));
-    for (service, state) in cx.services.borrow().iter() {
-        if let Some(slot_ms) = state.work.slot_ms() {
-            let gauge = metrics.slot_seconds.with_label_values(&[service.as_str()]);
-            gauge.set(slot_ms / 1000.0);
-        }
-    }
-}
