Play half of the soak's seeds with load control on

The soak ran all daemons without load control, so that nothing checked admission and reserved returns while processes, links and the store fail.

Seeds that are 0, 2, 3 or 7 modulo 8 now set `load_control`. In them accounts and routes have unlike priorities, the servers have three slots and short queues most of the time, one account bursts beyond all of them, and a caller that gets 429 or 503 comes back once after `Retry-After`, to any daemon, under a new identifier. There a 503 means that the request never ran, also for one that may run more than once; a seed in which nothing is refused fails, since it tests no refusal. All other seeds, those of FAILED_ONCE among them, play as before.

Not checked: that no urgent request is rejected for longer than a second while less urgent ones are admitted. Callers don't see which home decided, and by the design a quarter of the requests held back is admitted anyway.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -37,8 +37,8 @@
         "a daemon told to stop before the end of the faults stopped between two checks that it serves",
     ),
 ];
-/// Seeds that a run plays where nothing else is asked for.
-const SEEDS: u64 = 1;
+/// Seeds that a run plays where nothing else is asked for; the second one has load control on.
+const SEEDS: u64 = 2;
 /// How long faults come, and the pause between two.
 const FAULTS_FOR: Duration = Duration::from_secs(10);
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 150..600;
--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -6,12 +6,20 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{ACCOUNTS, Fleet, HOST, ONCE, SAFE, UNKNOWN_KEY, key_header};
-use crate::support::caller::{Connection, header, new_id};
+use crate::support::caller::{Answer, Connection, header, new_id};
 
 /// Callers at once.
 const CALLERS: u64 = 6;
 /// The pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..40;
+/// Under load control: callers of the account that bursts, more than all servers' slots and queues
+/// have room for; when it bursts; and the number of objects.
+const BURST_CALLERS: u64 = 90;
+const BURST: Duration = Duration::from_millis(1_000);
+const BURST_EVERY: Duration = Duration::from_millis(2_500);
+const OBJECTS: u64 = 40;
+/// How long a caller under load control waits for an answer, a return included.
+const TIME_LEFT: Duration = Duration::from_secs(3);
 /// Of the requests that are answered at all, at least this part is answered well even while
 /// faults come; less means that nothing was tested.
 const LEAST_SERVED: f64 = 0.2;
@@ -26,6 +34,25 @@
     answer: Option<(u16, String, Option<String>)>,
 }
 
+/// What a caller wants; a refused one comes back for the same once.
+#[derive(Clone, Copy)]
+struct Wish {
+    once: bool,
+    account: Option<usize>,
+    object: u64,
+    began: Instant,
+}
+
+impl Wish {
+    /// Gives how long its caller waits before it comes back after this answer, if it does.
+    fn wait(&self, answer: &Answer) -> Option<Duration> {
+        let told =
+            header(&answer.head, "retry-after").filter(|_| matches!(answer.status, 429 | 503));
+        let wait = Duration::from_secs_f64(told?.parse().ok()?);
+        (wait <= TIME_LEFT.saturating_sub(self.began.elapsed()) / 3).then_some(wait)
+    }
+}
+
 /// Running callers.
 pub struct Callers {
     stop: Arc<AtomicBool>,
@@ -36,30 +63,62 @@
     /// Starts callers that use all daemons.
     pub fn start(fleet: &Fleet, seed: u64) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
+        let is_loaded = fleet.has_load_control();
+        let bursting = (seed / 8 % 2) as usize;
+        let began = Instant::now();
         let start = |number| {
             let (stop, addresses) = (Arc::clone(&stop), fleet.addresses());
+            let bursts = number >= CALLERS;
             let mut rng = fastrand::Rng::with_seed(seed * 1_000 + number);
             std::thread::spawn(move || {
                 let mut seen = Vec::new();
                 let mut kept: Option<Connection> = None;
+                let mut returning: Option<Wish> = None;
                 while !stop.load(Ordering::Relaxed) {
+                    let in_cycle = began.elapsed().as_millis() % BURST_EVERY.as_millis();
+                    if bursts && returning.is_none() && in_cycle > BURST.as_millis() {
+                        std::thread::sleep(Duration::from_millis(PAUSE_MS.start));
+                        continue;
+                    }
                     // A connection is used for as long as it works, whatever look-ups say.
                     if kept.is_none() {
                         kept = Connection::open(addresses[rng.usize(..addresses.len())]);
                     }
-                    let once = rng.bool();
-                    let account =
-                        Some(rng.usize(..=ACCOUNTS.len())).filter(|a| *a < ACCOUNTS.len());
+                    let is_return = returning.is_some();
+                    let wish = returning.take().unwrap_or_else(|| {
+                        let once = rng.bool();
+                        let account = Some(rng.usize(..=ACCOUNTS.len()));
+                        Wish {
+                            once,
+                            account: match bursts {
+                                true => Some(bursting),
+                                false => account.filter(|a| *a < ACCOUNTS.len()),
+                            },
+                            object: if is_loaded { rng.u64(..OBJECTS) } else { 7 },
+                            began: Instant::now(),
+                        }
+                    });
+                    let Wish { once, account, .. } = wish;
                     let key = account.map_or(UNKNOWN_KEY, |account| ACCOUNTS[account].1);
                     let (method, path) = if once { ("POST", ONCE) } else { ("GET", SAFE) };
                     let id = new_id();
                     let asked = kept.as_mut().map(|c| {
                         c.extra_headers = key_header(key);
+                        c.object = wish.object;
+                        let spent = match is_return {
+                            true => wish.began.elapsed(),
+                            false => Duration::ZERO,
+                        };
+                        c.time_left = TIME_LEFT.saturating_sub(spent).as_millis() as u64;
                         c.request(method, HOST, path, &id)
                     });
+                    let mut pause = None;
                     if let Some(answer) = asked {
                         let is_last = answer.as_ref().is_none_or(|a| a.has("connection"));
                         kept = kept.filter(|_| !is_last);
+                        if is_loaded && !is_return {
+                            pause = answer.as_ref().and_then(|a| wish.wait(a));
+                        }
                         let answer = answer.map(|a| {
                             let echoed = header(&a.head, "request-id");
                             (a.status, a.body, echoed)
@@ -71,12 +130,18 @@
                             answer,
                         });
                     }
-                    std::thread::sleep(Duration::from_millis(rng.u64(PAUSE_MS)));
+                    if pause.is_some() {
+                        // It comes back to any of the daemons.
+                        (returning, kept) = (Some(wish), None);
+                    }
+                    let pause = pause.unwrap_or_else(|| Duration::from_millis(rng.u64(PAUSE_MS)));
+                    std::thread::sleep(pause);
                 }
                 seen
             })
         };
-        let threads = (0..CALLERS).map(start).collect();
+        let bursts = if is_loaded { BURST_CALLERS } else { 0 };
+        let threads = (0..CALLERS + bursts).map(start).collect();
         Self { stop, threads }
     }
 
@@ -95,6 +160,10 @@
             .filter_map(|s| Some(s.answer.as_ref()?.0))
             .collect();
         broken.extend(judge_limits(fleet));
+        let refused = answered.iter().filter(|status| **status == 503).count();
+        if fleet.has_load_control() && refused == 0 {
+            broken.push("no request was refused, so that no refusal was tested".to_owned());
+        }
         let answered: Vec<u16> = answered
             .into_iter()
             .filter(|s| !matches!(s, 401 | 429))
@@ -134,7 +203,10 @@
             let is_own = echoed.as_deref() == Some(id.as_str());
             (!ran || !is_own).then(|| format!("request {id} got the answer of another: {body:?}"))
         }
-        503 if seen.once && runs > 0 => Some(format!("request {id} was called not run, and ran")),
+        // A refused request that ran would use a slot again when its caller comes back.
+        503 if (seen.once || fleet.has_load_control()) && runs > 0 => {
+            Some(format!("request {id} was called not run, and ran"))
+        }
         401 if seen.account.is_none() => None,
         429 if seen
             .account
--- a/crates/daemon/tests/soak/fleet.rs
+++ b/crates/daemon/tests/soak/fleet.rs
@@ -30,9 +30,18 @@
     ("south", "k-south", 0.0),
     ("tight", "k-tight", 20.0),
 ];
+/// The priorities under load control of these accounts, and of the routes of [`SAFE`] and [`ONCE`].
+const ACCOUNT_PRIORITIES: [Option<u32>; 3] = [Some(0), Some(2), None];
+const ROUTE_PRIORITIES: [u32; 2] = [2, 1];
 /// A key of no account.
 pub const UNKNOWN_KEY: &str = "k-guess";
 
+/// Whether a seed is played with load control: half of them, of good and bad rollouts alike, and none
+/// that failed before there was any.
+fn has_load_control(seed: u64) -> bool {
+    [0, 2, 3, 7].contains(&(seed % 8))
+}
+
 /// Gives the line of a request's head that bears a key.
 pub fn key_header(key: &str) -> String {
     format!("Key: {key}\r\n")
@@ -114,6 +123,11 @@
         fleet
     }
 
+    /// Says whether the daemons have load control on.
+    pub fn has_load_control(&self) -> bool {
+        has_load_control(self.seed)
+    }
+
     /// Gives where callers connect.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.vms.iter().map(|vm| vm.at.requests).collect()
@@ -176,6 +190,9 @@
         // So few daemons would keep connections to all backend servers themselves. The last one does.
         let hands_over = number + 1 < DAEMONS;
         cfg["hand_over_below"] = json!(if hands_over { HAND_OVER_ALWAYS } else { 0.0 });
+        if has_load_control(self.seed) {
+            cfg["load_control"] = json!(true);
+        }
         let file = Self::logs(self.seed).join(format!("{name}.json"));
         std::fs::write(&file, cfg.to_string()).expect("the directory can be written");
         Vm {
@@ -217,13 +234,20 @@
             (rollouts::PREFIX, "safe", rollouts::SERVICE),
             (limits::PREFIX, "safe", limits::SERVICE),
         ];
-        let accounts = ACCOUNTS.map(|(name, key, per_second)| TestAccount {
+        let mut accounts = ACCOUNTS.map(|(name, key, per_second)| TestAccount {
             per_second,
             burst: per_second,
             ..TestAccount::new(name, key)
         });
+        let mut priorities: &[u32] = &[];
+        if has_load_control(self.seed) {
+            priorities = &ROUTE_PRIORITIES;
+            for (account, priority) in accounts.iter_mut().zip(ACCOUNT_PRIORITIES) {
+                account.priority = priority;
+            }
+        }
         self.store
-            .configure_with_accounts(self.version, &routes, &accounts);
+            .configure_with_priorities(self.version, &routes, priorities, &accounts);
     }
 
     fn register(&self, number: usize, state: &str) {
@@ -239,6 +263,10 @@
         // One server is left alone, so that there is always somebody to serve.
         let server = rng.usize(1..SERVERS);
         let pause = Duration::from_millis(rng.u64(200..2_000));
+        let manners: &[Behavior] = match has_load_control(self.seed) {
+            true => &FULL_MANNERS,
+            false => &MANNERS,
+        };
         match rng.u32(..12) {
             0 => self.kill(vm),
             1 => self.terminate(vm),
@@ -254,7 +282,7 @@
                 .set_mode(*rng.choice(&PASSAGES).expect("some")),
             6 => self.servers[server]
                 .server
-                .set_behavior(rng.choice(&MANNERS).expect("some").clone()),
+                .set_behavior(rng.choice(manners).expect("some").clone()),
             7 => self.register(server, "draining"),
             8 => self.register(server, "ready"),
             9 => self.store.compact(),
@@ -368,10 +396,22 @@
     Behavior::NeverAnswers,
     Behavior::Refuses,
 ];
+/// Under load control; servers with limited slots are full while an account bursts.
+const FULL_MANNERS: [Behavior; 6] = [
+    Behavior::LimitedSlots,
+    Behavior::LimitedSlots,
+    Behavior::Answers,
+    Behavior::AnswersLate,
+    Behavior::NeverAnswers,
+    Behavior::Refuses,
+];
 
 fn server(seed: u64, number: usize) -> Server {
     let id = format!("i-{seed}-{number}");
     let server = FakeServer::start(&id);
+    if has_load_control(seed) {
+        server.set_behavior(Behavior::LimitedSlots);
+    }
     let proxy = Proxy::start(server.address);
     let domain = DOMAINS[number % 2];
     Server {
