--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -27,6 +27,7 @@
 use crate::context::EdgeContext;
 use crate::forward::{self, SendHistory};
 use crate::homes::{HomePeer, HomeVm};
+use crate::machine_speed;
 use crate::poison::guard;
 use crate::relay::targets::Tier;
 use crate::reply;
@@ -400,7 +401,11 @@
         };
     }
     let value = response.headers.get(&cx.dialect.headers.server_load);
-    if let Some(load) = value.and_then(|v| ServerLoad::parse(v.to_str().ok()?)) {
+    let text = value.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    if machine_speed::parse_factor(text).is_some() {
+        cx.load_control.record_stated_speed();
+    }
+    if let Some(load) = ServerLoad::parse(text) {
         let is_local = to.region == cx.region;
         request_work::record_wait(cx, call, is_local, load, cx.now().since(began));
     }
