review: a truncated answer without a length looks complete after a reset

Cause: while a request's body is being sent, the failed write consumes the reset of the socket. The reads after it return the bytes received so far and then zero, which a body without a length takes for its end.

The case: upstreams that answer long uploads early, without a length, break off one in 20 of their answers. The client gets 200 with the signature, half of the body and the last chunk.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,21 @@
+//! The scripts of the review's cases, with stand-ins for the platform, upstreams and clients.
+
+mod daemon;
+mod http;
+mod json;
+mod record;
+mod store;
+mod truncated;
+
+use std::path::Path;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let code = match args[1..] {
+        ["truncated", folder] => truncated::run(Path::new(folder), has_trouble),
+        _ => 2,
+    };
+    std::process::exit(code);
+}
