review: a body in short chunks stops a daemon for all its other callers

Cause: the upload loop decodes, keeps and writes one chunk after the other and never returns to the runtime while both sockets are ready. The daemon has one thread.

The case: two clients at each of three daemons send 16 MiB in chunks of 16 bytes. Short requests of other clients on another route are held far past their timeout.

--- a/review/standins/daemon.rs
+++ b/review/standins/daemon.rs
@@ -137,6 +137,11 @@
         self.child = Some(child.expect("the build of the deploy file has run"));
     }
 
+    /// Returns the id of the process, or zero if there is none.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -59,6 +59,8 @@
 pub struct Conn {
     pub stream: TcpStream,
     buf: Vec<u8>,
+    /// Bytes of `buf` that are already consumed.
+    start: usize,
 }
 
 impl Conn {
@@ -67,28 +69,45 @@
         Self {
             stream,
             buf: Vec::new(),
+            start: 0,
         }
     }
 
+    fn rest(&self) -> &[u8] {
+        &self.buf[self.start..]
+    }
+
+    fn take(&mut self, len: usize) -> &[u8] {
+        let from = self.start;
+        self.start += len;
+        &self.buf[from..self.start]
+    }
+
+    fn take_all(&mut self) -> Vec<u8> {
+        self.take(self.rest().len()).to_vec()
+    }
+
     fn fill(&mut self) -> io::Result<usize> {
-        let mut chunk = vec![0; READ_BYTES];
-        let n = self.stream.read(&mut chunk)?;
-        self.buf.extend_from_slice(&chunk[..n]);
-        Ok(n)
+        self.buf.drain(..self.start);
+        self.start = 0;
+        let end = self.buf.len();
+        self.buf.resize(end + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buf[end..]);
+        self.buf.truncate(end + *read.as_ref().unwrap_or(&0));
+        read
     }
 
     /// Reads a head. Returns `None` if the channel ends, fails or stays silent before it.
     pub fn head(&mut self) -> Option<Head> {
         let end = loop {
-            if let Some(at) = self.buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            if let Some(at) = self.rest().windows(4).position(|w| w == b"\r\n\r\n") {
                 break at;
             }
             if self.fill().ok()? == 0 {
                 return None;
             }
         };
-        let text = String::from_utf8_lossy(&self.buf[..end]).into_owned();
-        self.buf.drain(..end + 4);
+        let text = String::from_utf8_lossy(&self.take(end + 4)[..end]).into_owned();
         let mut lines = text.split("\r\n");
         let first = lines.next().unwrap_or("").to_owned();
         let fields = lines.filter_map(|line| line.split_once(':'));
@@ -115,29 +134,29 @@
         }
         loop {
             match self.fill() {
-                Ok(0) => return (std::mem::take(&mut self.buf), End::Whole),
+                Ok(0) => return (self.take_all(), End::Whole),
                 Ok(_) => {}
-                Err(error) => return (std::mem::take(&mut self.buf), end_of(&error)),
+                Err(error) => return (self.take_all(), end_of(&error)),
             }
         }
     }
 
     fn exactly(&mut self, len: usize) -> (Vec<u8>, End) {
-        while self.buf.len() < len {
+        while self.rest().len() < len {
             match self.fill() {
-                Ok(0) => return (std::mem::take(&mut self.buf), End::Cut),
+                Ok(0) => return (self.take_all(), End::Cut),
                 Ok(_) => {}
-                Err(error) => return (std::mem::take(&mut self.buf), end_of(&error)),
+                Err(error) => return (self.take_all(), end_of(&error)),
             }
         }
-        (self.buf.drain(..len).collect(), End::Whole)
+        (self.take(len).to_vec(), End::Whole)
     }
 
     fn chunked(&mut self) -> (Vec<u8>, End) {
         let mut body = Vec::new();
         loop {
             let line_end = loop {
-                if let Some(at) = self.buf.windows(2).position(|w| w == b"\r\n") {
+                if let Some(at) = self.rest().windows(2).position(|w| w == b"\r\n") {
                     break at;
                 }
                 match self.fill() {
@@ -146,8 +165,7 @@
                     Err(error) => return (body, end_of(&error)),
                 }
             };
-            let line = String::from_utf8_lossy(&self.buf[..line_end]).into_owned();
-            self.buf.drain(..line_end + 2);
+            let line = String::from_utf8_lossy(&self.take(line_end + 2)[..line_end]).into_owned();
             let Ok(size) = usize::from_str_radix(line.trim(), 16) else {
                 return (body, End::Cut);
             };
@@ -161,9 +179,8 @@
 
     /// Reads and discards what still comes, until the channel ends.
     pub fn drain(&mut self) {
-        self.buf.clear();
         while self.fill().is_ok_and(|n| n > 0) {
-            self.buf.clear();
+            self.start = self.buf.len();
         }
     }
 }
