review: a streamed answer that stops is held past the route's timeout

Cause: the deadline of a request bounds the wait for the head of the answer. A body of unknown length or of more than 64 KiB is streamed without one; only 20 s without a byte end it.

The case: a third of the upstreams turn slow for 9 s and send the first part of their answer in time. Their requests have no final answer half a second after timeout_s, nor within their time budget.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod stalled;
 mod store;
 mod truncated;
+mod unfinished;
 
 use std::path::Path;
 
@@ -26,6 +27,7 @@
             0
         }
         ["stalled", folder] => stalled::run(Path::new(folder), has_trouble),
+        ["unfinished", folder] => unfinished::run(Path::new(folder), has_trouble),
         ["truncated", folder] => truncated::run(Path::new(folder), has_trouble),
         _ => 2,
     };
