--- a/review/standins/daemon.rs
+++ b/review/standins/daemon.rs
@@ -3,9 +3,11 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::Conn;
+use crate::record::Record;
 use std::io::Write;
 
 /// A zone and its region.
@@ -21,10 +23,23 @@
     ("souillac", "south"),
 ];
 
-/// Returns a free loopback address.
+/// The lowest port of a daemon. All of them lie below the ephemeral ports, so that no outgoing
+/// connection can take one before its daemon listens.
+const FIRST_PORT: u16 = 20_000;
+/// Number of these ports.
+const PORTS: u16 = 10_000;
+
+/// Returns a free loopback address that no other caller gets, in this process or a concurrent one.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    loop {
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from(([127, 2, high, low], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The addresses of one daemon.
@@ -53,8 +68,6 @@
 
 /// A daemon, which is killed when this is dropped.
 pub struct Daemon {
-    pub name: String,
-    pub zone: &'static str,
     pub at: Addresses,
     settings: PathBuf,
     log: PathBuf,
@@ -66,7 +79,7 @@
     pub fn start(
         dir: &Path,
         name: &str,
-        zone: &'static str,
+        zone: &str,
         at: Addresses,
         store: SocketAddr,
         seeds: &[SocketAddr],
@@ -110,8 +123,6 @@
         let settings = dir.join(format!("{name}.json"));
         std::fs::write(&settings, text).expect("the folder is writable");
         let mut daemon = Self {
-            name: name.to_owned(),
-            zone,
             at,
             log: dir.join(format!("{name}.log")),
             settings,
@@ -137,9 +148,9 @@
         self.child = Some(child.expect("the build of the deploy file has run"));
     }
 
-    /// Returns the id of the process, or zero if there is none.
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
+    /// Returns what the process has written.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
     /// Ends the process at once.
@@ -150,22 +161,6 @@
         }
     }
 
-    /// Sends a signal to the process by its id.
-    pub fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .arg(format!("-{signal}"))
-                .arg(child.id().to_string())
-                .status();
-        }
-    }
-
-    /// Returns whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| child.try_wait().is_ok_and(|ended| ended.is_none()))
-    }
-
     /// Returns whether the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
         let Some(mut conn) = connect(self.at.ready) else {
@@ -174,11 +169,6 @@
         let asked = b"GET /heatherknot/readyz HTTP/1.1\r\nHost: x\r\n\r\n";
         conn.stream.write_all(asked).is_ok() && conn.head().is_some_and(|h| h.status() == 200)
     }
-
-    /// Returns what the process has written.
-    pub fn log_text(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Daemon {
@@ -196,8 +186,9 @@
     Some(Conn::new(stream))
 }
 
-/// Waits until all daemons are ready. Returns whether they were within 20 s.
-pub fn wait_until_ready(daemons: &[Daemon]) -> bool {
+/// Waits until all daemons are ready. Returns whether they were within 20 s; if not, their logs go
+/// into the record.
+pub fn wait_until_ready(daemons: &[Daemon], record: &Record) -> bool {
     let until = Instant::now() + Duration::from_secs(20);
     while Instant::now() < until {
         if daemons.iter().all(Daemon::is_ready) {
@@ -205,5 +196,9 @@
         }
         std::thread::sleep(Duration::from_millis(50));
     }
+    record.say("the daemons did not become ready");
+    for daemon in daemons {
+        daemon.log_text().lines().for_each(|line| record.line(line));
+    }
     false
 }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -22,16 +22,6 @@
         found.map_or("", |(_, value)| value)
     }
 
-    /// Returns whether a field is present.
-    pub fn has(&self, name: &str) -> bool {
-        self.fields.iter().any(|(n, _)| n == name)
-    }
-
-    /// Returns the method of a request.
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     /// Returns the target of a request.
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,7 +3,6 @@
 mod daemon;
 mod http;
 mod json;
-mod probe;
 mod record;
 mod stalled;
 mod store;
@@ -17,15 +16,6 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match args[1..] {
-        ["probe", n, secs, timeout, work] => {
-            probe::run(
-                n.parse().unwrap(),
-                secs.parse().unwrap(),
-                timeout,
-                work.parse().unwrap(),
-            );
-            0
-        }
         ["stalled", folder] => stalled::run(Path::new(folder), has_trouble),
         ["unfinished", folder] => unfinished::run(Path::new(folder), has_trouble),
         ["truncated", folder] => truncated::run(Path::new(folder), has_trouble),
--- a/review/standins/stalled.rs
+++ b/review/standins/stalled.rs
@@ -117,7 +117,6 @@
         return;
     };
     let began = Instant::now();
-    let _ = conn.stream.set_read_timeout(Some(SUBMIT_BUDGET));
     let _ = conn.stream.set_write_timeout(Some(SUBMIT_BUDGET));
     let framing = match in_chunks {
         true => "Transfer-Encoding: chunked".to_owned(),
@@ -136,11 +135,14 @@
     }
     let mut sent = conn.stream.write_all(head.as_bytes()).is_ok();
     for _ in 0..BUNDLE_BYTES / RECORD_BYTES / 1024 {
-        sent = sent && conn.stream.write_all(&piece).is_ok();
+        sent = sent && began.elapsed() < SUBMIT_BUDGET && conn.stream.write_all(&piece).is_ok();
     }
     if in_chunks {
         sent = sent && conn.stream.write_all(b"0\r\n\r\n").is_ok();
     }
+    let left = SUBMIT_BUDGET.saturating_sub(began.elapsed());
+    let left = left.max(Duration::from_millis(1));
+    let _ = conn.stream.set_read_timeout(Some(left));
     let status = conn.head().map_or(0, |head| head.status());
     let took = began.elapsed().as_secs_f64();
     record.line(&format!(
@@ -194,8 +196,7 @@
         Daemon::start(&dir.0, &name, zone, *at, store_at, &seeds)
     });
     let daemons: Vec<Daemon> = daemons.collect();
-    if !daemon::wait_until_ready(&daemons) {
-        record.say("the daemons did not become ready");
+    if !daemon::wait_until_ready(&daemons, &record) {
         return 2;
     }
     std::thread::sleep(Duration::from_secs(3));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -78,26 +78,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes an item.
-    pub fn delete(&self, key: &str) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.revision += 1;
-        let revision = state.revision;
-        state.remove(key, revision);
-        self.shared.1.notify_all();
-    }
-
-    /// Returns the keys that begin with `prefix`, with their values.
-    pub fn list(&self, prefix: &str) -> Vec<(String, String)> {
-        let state = self.shared.0.lock().unwrap();
-        let found = state
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix));
-        let text = |item: &Item| String::from_utf8_lossy(&item.value).into_owned();
-        found.map(|(key, item)| (key.clone(), text(item))).collect()
-    }
-
     fn serve(&self, mut conn: Conn) {
         while let Some(head) = conn.head() {
             let (body, _) = conn.body(&head, false);
--- a/review/standins/truncated.rs
+++ b/review/standins/truncated.rs
@@ -28,7 +28,7 @@
 /// One in this many answers of such an upstream is broken off.
 const ANSWERS_PER_FAULT: u32 = 20;
 /// How long uploads are sent.
-const RUN: Duration = Duration::from_secs(25);
+const RUN: Duration = Duration::from_secs(40);
 /// Interval of the status reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -211,8 +211,7 @@
         )
     });
     let daemons: Vec<Daemon> = daemons.collect();
-    if !daemon::wait_until_ready(&daemons) {
-        record.say("the daemons did not become ready");
+    if !daemon::wait_until_ready(&daemons, &record) {
         return 2;
     }
     std::thread::sleep(Duration::from_secs(3));
--- a/review/standins/unfinished.rs
+++ b/review/standins/unfinished.rs
@@ -171,8 +171,7 @@
         Daemon::start(&dir.0, &name, zone, *at, store_at, &seeds)
     });
     let daemons: Vec<Daemon> = daemons.collect();
-    if !daemon::wait_until_ready(&daemons) {
-        record.say("the daemons did not become ready");
+    if !daemon::wait_until_ready(&daemons, &record) {
         return 2;
     }
     std::thread::sleep(Duration::from_secs(3));
