--- a/review/standins/truncated.rs
+++ b/review/standins/truncated.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::daemon::{self, Addresses, Daemon, ZONES};
 use crate::http::{Conn, End};
@@ -23,8 +23,11 @@
 const CLIENTS: usize = 6;
 /// Upstreams of the service.
 const UPSTREAMS: usize = 12;
-/// Upstreams that break off answers, a share of 0.58.
-const FAULTY_UPSTREAMS: usize = 7;
+/// Upstreams that break off answers, a share of 0.5.
+const FAULTY_UPSTREAMS: usize = 6;
+/// How long they do so, and the pause until they do so again.
+const FAULTY_FOR: Duration = Duration::from_secs(5);
+const SOUND_FOR: Duration = Duration::from_secs(1);
 /// One in this many answers of such an upstream is broken off.
 const ANSWERS_PER_FAULT: u32 = 20;
 /// How long uploads are sent.
@@ -50,11 +53,13 @@
     /// Whether it breaks off some answers.
     is_faulty: bool,
     answers: AtomicU32,
+    /// From when on the faulty and the sound spans follow each other.
+    began: Instant,
     record: Record,
 }
 
 impl Upstream {
-    fn start(number: usize, is_faulty: bool, record: &Record) -> Arc<Self> {
+    fn start(number: usize, is_faulty: bool, began: Instant, record: &Record) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let upstream = Arc::new(Self {
             id: format!("i-{number:08}"),
@@ -62,6 +67,7 @@
             zone: ZONES[number % ZONES.len()].0,
             is_faulty,
             answers: AtomicU32::new(0),
+            began,
             record: record.clone(),
         });
         let served = Arc::clone(&upstream);
@@ -101,7 +107,10 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Signature: {id}.{request}\r\nServer-Load: 1,0,3\r\n\r\n"
         );
         let count = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
-        if self.is_faulty && count.is_multiple_of(ANSWERS_PER_FAULT) {
+        let cycle = (FAULTY_FOR + SOUND_FOR).as_millis();
+        let at = self.began.elapsed().as_millis() % cycle;
+        let is_faulty = self.is_faulty && at < FAULTY_FOR.as_millis();
+        if is_faulty && count.is_multiple_of(ANSWERS_PER_FAULT) {
             let half = &body[..ANSWER_BYTES / 2];
             let answer = [head.as_bytes(), half].concat();
             let _ = conn.stream.write_all(&answer);
@@ -194,7 +203,8 @@
     let dir = TempDir::create();
     let (store, store_at) = Store::start();
     store.put("op/config", CONFIG);
-    let start = |n| Upstream::start(n, has_trouble && n < FAULTY_UPSTREAMS, &record);
+    let began = Instant::now();
+    let start = |n| Upstream::start(n, has_trouble && n < FAULTY_UPSTREAMS, began, &record);
     let upstreams: Vec<_> = (0..UPSTREAMS).map(start).collect();
     upstreams.iter().for_each(|u| u.report(&store, 1));
     let addresses: Vec<Addresses> = (0..3).map(|_| Addresses::free()).collect();
