Report a connection's failure to its reader even if a write has met it

What callers saw: a backend server responded to a long upload early and without a length, and broke off within its response. The caller got 200 with the server's signature, half of the body and the last chunk.

Cause: the operating system reports the failure of a connection once, to the first call that meets it. The write of the upload met the reset, and its error was dropped. The read after it returned the bytes received before and then zero, which ends a body without a length.

sendto(24, ..., 16384) = -1 ECONNRESET recvfrom(24, "HTTP/1.1 200 OK..., 4096) = 4096 recvfrom(24, ..., 16384) = 16384 recvfrom(24, ..., 32768) = 28790 recvfrom(24, "", 53248) = 0

Other explanations don't fit this trace: the peer closed its side in order (the write would have failed with EPIPE), or a read got the error and it was lost further up (no read of this connection failed).

Change: the halves of a connection share the first failure that either of them meets. A read that returns zero after a failure reports the failure, unless the peer had closed its side before: a reset is then reported as a broken pipe, and after a time-out or an unreachable peer the count of received bytes includes the FIN.

So a response that ended before the failure stays complete, and bodies with a length or chunks keep their own end.

The tests force the order by not polling the pool between the failure and the write.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -10,7 +10,7 @@
 use futures_util::FutureExt;
 use futures_util::future::{Either, Fuse, LocalBoxFuture, select};
 use http::{HeaderName, HeaderValue, StatusCode};
-use monoio::io::{AsyncReadRent, Splitable};
+use monoio::io::AsyncReadRent;
 use monoio::net::TcpStream;
 
 use heatherknot_types::outcome::OUTCOME_HEADER;
@@ -21,6 +21,7 @@
 use crate::decode::ParsedRequest;
 use crate::encode;
 use crate::flag::Flag;
+use crate::halves;
 use crate::head::{self, HeadError};
 use crate::headers::strip_hop_by_hop;
 use crate::incoming::{BodyLimits, Framing, IncomingBody};
@@ -50,7 +51,7 @@
 
 /// Serves one connection until it closes.
 pub(crate) async fn run(stream: TcpStream, peer: SocketAddr, cx: Rc<ServerContext>) {
-    let (read, write) = stream.into_split();
+    let (read, write) = halves::split(stream);
     let mut connection = Connection {
         slot: ReaderSlot::Available(Reader::new(read)),
         writer: Writer::new(write, cx.limits.write_timeout),
--- a/crates/http/src/duplex.rs
+++ b/crates/http/src/duplex.rs
@@ -73,8 +73,13 @@
             // Keep the writer: dropping it closes the write side, which some peers treat as
             // a disconnection of the caller.
             self.upload = Upload::Ended(uploaded.writer);
-            if let Err(WriteError::Body(error)) = uploaded.result {
-                return Some(Err(error));
+            match uploaded.result {
+                Ok(()) => {}
+                Err(WriteError::Body(error)) => return Some(Err(error)),
+                // The next read reports a failure that truncates the response.
+                Err(error) => {
+                    log::debug!(error:? = error; "the peer stopped accepting a request's body");
+                }
             }
         }
         self.incoming.next_chunk().await
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -229,10 +229,13 @@
     error: io::Error,
 ) -> Result<ParsedResponse, Failure> {
     match with_timeout(EARLY_RESPONSE_TIMEOUT, receiving).await {
-        Some(Ok(parsed)) => Ok(ParsedResponse {
-            close: true,
-            ..parsed
-        }),
+        Some(Ok(parsed)) => {
+            log::debug!(error:% = error; "the peer responded and stopped accepting a request's body");
+            Ok(ParsedResponse {
+                close: true,
+                ..parsed
+            })
+        }
         _ => Err(WriteError::Io(error).into()),
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 mod encode;
 mod exchange;
 mod flag;
+mod halves;
 mod head;
 mod headers;
 mod idle;
--- a/crates/http/src/loan.rs
+++ b/crates/http/src/loan.rs
@@ -9,8 +9,9 @@
 use futures_util::future::{Either, select};
 
 use crate::flag::Flag;
+use crate::halves::CloseProbe;
 use crate::incoming::{BodyDecoder, Decoded, Released};
-use crate::reader::{CALLER_READ, CloseProbe, HEAD_READ, Reader};
+use crate::reader::{CALLER_READ, HEAD_READ, Reader};
 use crate::timeout::with_timeout;
 
 /// Maximum bytes of further requests that are read while one is handled.
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -9,13 +9,12 @@
 
 use heatherknot_types::prelude::*;
 use http::HeaderName;
-use monoio::io::Splitable;
 use monoio::net::TcpStream;
-use monoio::net::tcp::TcpOwnedWriteHalf;
 use snafu::ResultExt;
 
 use crate::body::Body;
 use crate::exchange;
+use crate::halves::{self, WriteHalf};
 use crate::message::{RequestHead, Response};
 use crate::reader::{HEAD_READ, Reader};
 use crate::send_error::{
@@ -108,7 +107,7 @@
 /// One connection of a pool.
 pub(crate) struct PooledConnection {
     pub(crate) reader: Reader,
-    pub(crate) write: TcpOwnedWriteHalf,
+    pub(crate) write: WriteHalf,
     pub(crate) info: ConnectionInfo,
 }
 
@@ -320,7 +319,7 @@
             }
         };
         socket::configure(&stream, &self.config.liveness).context(ConnectSnafu { peer })?;
-        let (read, write) = stream.into_split();
+        let (read, write) = halves::split(stream);
         Ok(PooledConnection {
             reader: Reader::new(read),
             write,
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -1,14 +1,12 @@
 //! The read half of a connection with its buffer.
 
 use std::io;
-use std::rc::Rc;
 
 use bytes::BytesMut;
-use monoio::io::{AsyncReadRent, OwnedReadHalf};
-use monoio::net::tcp::TcpOwnedReadHalf;
 
+use crate::halves::{CloseProbe, ReadHalf};
 use crate::head::{self, HeadError};
-use crate::socket::{self, IdleState};
+use crate::socket::IdleState;
 
 /// Size of one read while waiting for a head, in bytes.
 pub(crate) const HEAD_READ: usize = 4 * 1024;
@@ -29,20 +27,20 @@
 
 /// The read half of a connection with a buffer.
 pub(crate) struct Reader {
-    half: TcpOwnedReadHalf,
+    half: ReadHalf,
     /// Bytes read but not yet consumed.
     pub(crate) buf: BytesMut,
 }
 
 impl Reader {
-    pub(crate) fn new(half: TcpOwnedReadHalf) -> Self {
+    pub(crate) fn new(half: ReadHalf) -> Self {
         Self {
             half,
             buf: BytesMut::new(),
         }
     }
 
-    /// Appends up to about `want` bytes to the buffer; returns zero at the end of the stream.
+    /// Appends up to about `want` bytes to the buffer; returns zero if the peer closed its side in order.
     ///
     /// Dropping the future loses no buffered bytes: they stay in `buf`, and only the spare
     /// capacity after them is passed to the read.
@@ -69,7 +67,7 @@
 
     /// Waits until bytes are available or the stream has ended, without holding a buffer.
     pub(crate) async fn readable(&mut self) -> io::Result<()> {
-        socket::readable(&self.half).await
+        self.half.readable().await
     }
 
     /// Reads until the buffer contains a complete head; returns its length.
@@ -117,24 +115,11 @@
 
     /// Returns the state of an idle connection without consuming bytes.
     pub(crate) fn idle_state(&self) -> IdleState {
-        socket::half_idle_state(&self.half)
+        self.half.idle_state()
     }
 
     /// Creates a probe that can be used while the reader is borrowed.
     pub(crate) fn probe(&self) -> CloseProbe {
-        CloseProbe {
-            half: OwnedReadHalf(Rc::clone(&self.half.0)),
-        }
-    }
-}
-
-/// Detects whether the peer has closed a connection while another task reads from it.
-pub(crate) struct CloseProbe {
-    half: TcpOwnedReadHalf,
-}
-
-impl CloseProbe {
-    pub(crate) fn is_peer_closed(&self) -> bool {
-        socket::is_peer_closed(&self.half)
+        self.half.probe()
     }
 }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -87,6 +87,29 @@
     ready > 0
 }
 
+/// Returns the number of bytes that the operating system has received in sequence on a connection, read or not. A
+/// close by the peer counts as one byte more (`tcpi_bytes_received` counts its FIN).
+#[allow(unsafe_code)]
+pub(crate) fn received_bytes(half: &TcpOwnedReadHalf) -> io::Result<u64> {
+    // SAFETY: all fields are integers, for which zero is valid.
+    let mut info: libc::tcp_info = unsafe { std::mem::zeroed() };
+    let mut len = size_of_val(&info) as libc::socklen_t;
+    // SAFETY: `info` and `len` are valid for writes, and `len` is the size of `info`.
+    let status = unsafe {
+        libc::getsockopt(
+            stream_of(half).as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_INFO,
+            (&raw mut info).cast(),
+            &raw mut len,
+        )
+    };
+    match status {
+        0 => Ok(info.tcpi_bytes_received),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// Waits until bytes are available or the stream has ended.
 pub(crate) async fn readable(half: &TcpOwnedReadHalf) -> io::Result<()> {
     stream_of(half).readable(false).await
--- a/crates/http/src/writer.rs
+++ b/crates/http/src/writer.rs
@@ -5,11 +5,10 @@
 
 use bytes::{Bytes, BytesMut};
 use monoio::buf::IoBuf;
-use monoio::io::AsyncWriteRent;
-use monoio::net::tcp::TcpOwnedWriteHalf;
 
 use crate::body::{Body, BodyError};
 use crate::encode;
+use crate::halves::WriteHalf;
 use crate::incoming::Framing;
 use crate::send_error::SendProgress;
 use crate::timeout::with_timeout;
@@ -31,7 +30,7 @@
 
 /// The write half of a connection with an output buffer.
 pub(crate) struct Writer {
-    half: TcpOwnedWriteHalf,
+    half: WriteHalf,
     timeout: Duration,
     /// Bytes encoded but not yet written.
     pub(crate) out: BytesMut,
@@ -41,7 +40,7 @@
 
 impl Writer {
     /// Creates a writer that waits at most `timeout` for the peer to accept more bytes.
-    pub(crate) fn new(half: TcpOwnedWriteHalf, timeout: Duration) -> Self {
+    pub(crate) fn new(half: WriteHalf, timeout: Duration) -> Self {
         Self {
             half,
             timeout,
@@ -51,7 +50,7 @@
     }
 
     /// Returns the write half.
-    pub(crate) fn into_half(self) -> TcpOwnedWriteHalf {
+    pub(crate) fn into_half(self) -> WriteHalf {
         self.half
     }
 
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures for the tests of this package.
 #![allow(dead_code)]
 
+pub mod upstream;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
