Log and count responses of which callers got only a part

What operators saw: nothing. A streamed response that broke off left "request ended" with the outcome "answered", written at its head, and no line or counter about its end.

Change: a body calls a function with the error that ends it early. The daemon on the platform writes the warning "response truncated" (id, service, sender, cause) and counts in heatherknot_truncated_responses_total by service and sender: a backend server, or the VM that a request was handed over to. The gateway does the same by service. A response that ends because the caller's upload broke is told apart by an error of its own, BodyError::RequestBody, and not counted. A short response that broke off is logged with its cause; it was counted among the sends before.

The counter in request_path.rs and the error of a broken upload are new, so their tests fail without the change (the series and the variant don't exist).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::reachability;
 use crate::reachability::diagnosis::{self, Diagnosis};
 use crate::request_limit;
+use crate::request_log::{self, ResponseSender};
 use crate::request_work;
 use crate::rollout::evidence::RequestKind;
 use crate::rollout::state::{ObservedSend, SendResult};
@@ -258,7 +259,8 @@
         upstream.record_error_response(cx.now());
         return SendOutcome::Unknown("the response is not the server's own");
     }
-    match read_if_short(call, cx, response).await {
+    let sender = ResponseSender::BackendServer(upstream.id.clone());
+    match read_if_short(call, cx, response, sender).await {
         Ok(response) => record_answer(cx, call, candidate, response, sent, in_flight),
         Err(cause) => {
             upstream.record_error_response(cx.now());
@@ -317,11 +319,13 @@
     })
 }
 
-/// Reads a short response body completely. A longer one, or one of unknown length, is streamed.
+/// Reads a short response body completely. A longer one, or one of unknown length, is streamed, and
+/// recorded if its caller receives it truncated.
 pub(crate) async fn read_if_short(
     call: &Call,
     cx: &EdgeContext,
     response: Response,
+    sender: ResponseSender,
 ) -> Result<Response, &'static str> {
     let Response {
         status,
@@ -335,7 +339,7 @@
         return Ok(Response {
             status,
             headers,
-            body,
+            body: body.on_error(request_log::truncation_recorder(cx, call, sender)),
         });
     }
     let left = Duration::from_millis(call.time_left(cx.now()).0.max(1));
@@ -348,7 +352,10 @@
                 body,
             })
         }
-        Ok(Err(_)) => Err("the response broke off"),
+        Ok(Err(error)) => {
+            log::debug!(id = call.id(cx), sender:% = sender, error:% = error; "a short response broke off");
+            Err("the response broke off")
+        }
         Err(_) => Err("the response did not end in time"),
     }
 }
--- a/crates/edge/src/hand_over.rs
+++ b/crates/edge/src/hand_over.rs
@@ -31,6 +31,7 @@
 use crate::poison::guard;
 use crate::relay::targets::Tier;
 use crate::reply;
+use crate::request_log::ResponseSender;
 use crate::request_work;
 use crate::route_agreement::{self, AGREEMENT_HEADER};
 use crate::switches::Mechanism;
@@ -417,7 +418,8 @@
         let route = cx.route(&call.route.name);
         route.record_bytes(bytes + call.body.len());
     }
-    match attempt::read_if_short(call, cx, response).await {
+    let sender = ResponseSender::Vm(peer.pool.address());
+    match attempt::read_if_short(call, cx, response, sender).await {
         Ok(response) => HandOverOutcome::Answered(response),
         Err(cause) => HandOverOutcome::Unknown(cause),
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -215,6 +215,8 @@
     pub requests_at_server_crash: IntCounterVec,
     /// Backend servers that this VM reaches, by service.
     pub servers_reached: GaugeVec,
+    /// Responses of which callers got only a part, by service and by who broke them off.
+    pub truncated_responses: IntCounterVec,
     /// Requests handed over to the home VMs of their servers, by result.
     pub handed_over: IntCounterVec,
     /// Metrics of requests that other VMs hand over to this VM.
@@ -275,6 +277,7 @@
                 &["service"],
             )?,
             servers_reached: register_servers_reached(registry)?,
+            truncated_responses: register_truncated_responses(registry)?,
             handed_over: register_handed_over(registry)?,
             home: HomeMetrics::register(registry)?,
             relayed: register_relayed(registry)?,
@@ -337,6 +340,15 @@
     )
 }
 
+fn register_truncated_responses(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    register_counters(
+        registry,
+        "heatherknot_truncated_responses_total",
+        "Responses of which callers got only a part, by service and sender",
+        &["service", "sender"],
+    )
+}
+
 fn register_handed_over(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
     register_counters(
         registry,
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -6,11 +6,14 @@
 //! log the same small sample, selected by a hash of the request's identifier, so that either all
 //! lines of a request are logged or none.
 
-use heatherknot_http::Response;
+use std::fmt;
+use std::net::SocketAddr;
+
+use heatherknot_http::{BodyError, Response};
 use heatherknot_types::hash;
 use heatherknot_types::prelude::*;
 use http::StatusCode;
-use log::info;
+use log::{debug, info, warn};
 
 use crate::accounts::Account;
 use crate::admission::gate::Rejection;
@@ -180,6 +183,55 @@
         took_ms = cx.now().since(began).0; "request relayed");
 }
 
+/// Who sent a response to this VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ResponseSender {
+    /// A backend server.
+    BackendServer(UpstreamName),
+    /// Another VM that the request was handed over to, by its address.
+    Vm(SocketAddr),
+}
+
+impl ResponseSender {
+    /// Returns the value of the metrics label.
+    fn label(&self) -> &'static str {
+        match self {
+            ResponseSender::BackendServer(_) => "backend-server",
+            ResponseSender::Vm(_) => "vm",
+        }
+    }
+}
+
+impl fmt::Display for ResponseSender {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ResponseSender::BackendServer(id) => id.fmt(f),
+            ResponseSender::Vm(address) => address.fmt(f),
+        }
+    }
+}
+
+/// Returns a function that counts and logs a response of which the caller got only a part. One that
+/// ends because the caller's upload broke is not counted.
+pub(crate) fn truncation_recorder(
+    cx: &EdgeContext,
+    call: &Call,
+    sender: ResponseSender,
+) -> impl FnOnce(&BodyError) + 'static {
+    let labels = [call.service.as_str(), sender.label()];
+    let truncated = cx.metrics.truncated_responses.with_label_values(&labels);
+    let id = call.id(cx).to_owned();
+    let service = call.service.clone();
+    move |error| {
+        if matches!(error, BodyError::RequestBody { .. }) {
+            debug!(id = id.as_str(), service:% = service, cause:% = error; "response not received completely");
+            return;
+        }
+        truncated.inc();
+        warn!(id = id.as_str(), service:% = service, sender:% = sender, cause:% = error; "response truncated");
+    }
+}
+
 /// Logs what was used of the services' retry budgets since the previous call, for each service with a
 /// retry.
 pub(crate) fn record_retry_budgets(cx: &EdgeContext) {
--- a/crates/gateway/src/deliver.rs
+++ b/crates/gateway/src/deliver.rs
@@ -61,6 +61,7 @@
     pub(crate) async fn deliver(
         &self,
         response: Response,
+        service: &ServiceName,
         mut resources: RequestResources,
         flight: &mut Option<InFlightGuard>,
         cancelled: &Flag,
@@ -84,6 +85,7 @@
                 timer: self.cx.timer.clone(),
                 interval: self.cx.settings.slot_renew_interval,
             };
+            let body = body.on_error(self.truncation_recorder(service));
             monoio::spawn(stream(body, tx, resources, renewer, cancelled.clone()));
             return Ok(Response {
                 status,
@@ -100,6 +102,20 @@
     }
 }
 
+impl Gateway {
+    /// Returns a function that counts and logs a response of which the caller got only a part. One that
+    /// ends because the caller's upload broke is not counted.
+    fn truncation_recorder(&self, service: &ServiceName) -> impl FnOnce(&BodyError) + 'static {
+        let (metrics, service) = (self.metrics.clone(), service.clone());
+        move |error| {
+            if !matches!(error, BodyError::RequestBody { .. }) {
+                metrics.truncated(&service);
+                log::warn!(service:% = service, cause:% = error; "response truncated");
+            }
+        }
+    }
+}
+
 fn response_broken(error: &BodyError, resources: &RequestResources) -> Refusal {
     resources.admission.set_outcome(RequestOutcome::Failed);
     let detail = format!("the answer broke off: {error}");
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -84,7 +84,7 @@
             Ok(response) => self.check_response(response, &in_use, &upstream)?,
             Err(error) => return Err(send_failure(error, &in_use, upstream.name)),
         };
-        self.deliver(response, in_use, flight, &exchange.cancelled)
+        self.deliver(response, &call.service, in_use, flight, &exchange.cancelled)
             .await
             .map_err(|refusal| AttemptFailure {
                 refusal,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     sent: IntCounterVec,
     latency: HistogramVec,
     retries: IntCounterVec,
+    truncated: IntCounterVec,
     handed_over: IntCounterVec,
     repeats: IntCounterVec,
     probes: IntCounterVec,
@@ -59,6 +60,11 @@
                 "Requests sent again.",
                 &["service"],
             )?,
+            truncated: counter(
+                "heatherknot_truncated_responses_total",
+                "Responses of which callers got only a part.",
+                &["service"],
+            )?,
             handed_over: counter(
                 "heatherknot_handed_over_total",
                 "Requests handed to another VM.",
@@ -98,6 +104,7 @@
         registry.register(Box::new(self.requests.clone()))?;
         registry.register(Box::new(self.latency.clone()))?;
         registry.register(Box::new(self.retries.clone()))?;
+        registry.register(Box::new(self.truncated.clone()))?;
         registry.register(Box::new(self.handed_over.clone()))?;
         registry.register(Box::new(self.repeats.clone()))?;
         registry.register(Box::new(self.probes.clone()))?;
@@ -136,6 +143,11 @@
         self.retries.with_label_values(&[service.as_str()]).inc();
     }
 
+    /// Counts a response of which the caller got only a part.
+    pub fn truncated(&self, service: &ServiceName) {
+        self.truncated.with_label_values(&[service.as_str()]).inc();
+    }
+
     /// Counts a request that is forwarded to another VM; `reason` becomes the label `why`.
     pub fn hand_over(&self, service: &ServiceName, reason: &str) {
         self.handed_over
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -68,7 +68,8 @@
         if let Some(failure) = peer_failure(&response, &resources) {
             return Err(failure);
         }
-        let delivered = self.deliver(response, resources, flight, &exchange.cancelled);
+        let service = &call.service;
+        let delivered = self.deliver(response, service, resources, flight, &exchange.cancelled);
         delivered.await.map_err(|refusal| AttemptFailure {
             refusal,
             avoid: None,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -107,6 +107,13 @@
 }
 
 impl Vm {
+    /// Returns the metrics page.
+    pub fn metrics_text(&self) -> String {
+        prometheus::TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .expect("metrics have a text form")
+    }
+
     /// Starts a VM without settings and members.
     pub fn start(
         name: &str,
--- a/crates/gateway/tests/drains.rs
+++ b/crates/gateway/tests/drains.rs
@@ -113,12 +113,6 @@
     });
 }
 
-fn metrics_text(vm: &common::Vm) -> String {
-    prometheus::TextEncoder::new()
-        .encode_to_string(&vm.registry.gather())
-        .expect("metrics have a text form")
-}
-
 /// Returns whether the home has a free slot of `u0` to lend now.
 fn lends(home: &common::Vm) -> bool {
     let request = SlotRequest {
@@ -200,7 +194,7 @@
             let line = format!(
                 "heatherknot_probes_total{{found=\"failed\",service=\"acme:shop\",upstream=\"u0\"}} {n}"
             );
-            wait_until("a probe has failed", || metrics_text(&vm).contains(&line)).await;
+            wait_until("a probe has failed", || vm.metrics_text().contains(&line)).await;
         }
 
         for i in 0..20 {
@@ -209,7 +203,7 @@
                 "answered"
             );
         }
-        let text = metrics_text(&vm);
+        let text = vm.metrics_text();
 
         assert!(!text.contains("heatherknot_retries_total{"), "{text}");
     });
--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -151,7 +151,7 @@
         let (vm, _time, _network) = one_vm(plan(&[&one, &two], 3)).await;
 
         let first = vm.send(TestRequest::get("r1")).await;
-        let text = metrics_text(&vm);
+        let text = vm.metrics_text();
 
         assert_eq!(first.status, StatusCode::SERVICE_UNAVAILABLE);
         assert_eq!(first.outcome, "not-run");
@@ -280,12 +280,6 @@
     });
 }
 
-fn metrics_text(vm: &Vm) -> String {
-    prometheus::TextEncoder::new()
-        .encode_to_string(&vm.registry.gather())
-        .expect("metrics have a text form")
-}
-
 #[test]
 fn every_outcome_is_counted() {
     // Guards against outcomes that are missing from the request metric or lack their reason.
@@ -297,7 +291,7 @@
         server.change(|b| b.fault = Fault::ClosesAfterRun);
         vm.send(TestRequest::post("r2")).await;
         vm.gateway.tick();
-        let text = metrics_text(&vm);
+        let text = vm.metrics_text();
 
         let line = |outcome: &str, reason: &str| {
             format!(
--- a/crates/gateway/tests/request_path.rs
+++ b/crates/gateway/tests/request_path.rs
@@ -322,7 +322,7 @@
 #[test]
 fn truncated_large_response_does_not_look_complete() {
     // A backend server dies halfway through a large response whose head has been delivered. Guards
-    // against a truncated body that looks complete to the caller.
+    // against a truncated body that looks complete to the caller, or that no operator notices.
     block_on(async {
         let server = backend(1);
         server.change(|b| {
@@ -338,6 +338,9 @@
 
         assert!(head.contains("content-length: 1048576\r\n"), "{head}");
         assert!(body.len() < 1 << 20);
+        let counted = "heatherknot_truncated_responses_total{service=\"acme:shop\"} 1\n";
+        let metrics = vm.metrics_text();
+        assert!(metrics.contains(counted), "{metrics}");
     });
 }
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -47,6 +47,12 @@
     /// The producer of the body stopped before the body was complete.
     #[snafu(display("the sender gave up within the body"))]
     Abandoned,
+    /// The body of the request broke while the response was being received.
+    #[snafu(display("the body of the request broke within the response: {source}"))]
+    RequestBody {
+        /// Why it broke.
+        source: Box<BodyError>,
+    },
 }
 
 impl BodyError {
@@ -58,6 +64,7 @@
             BodyError::Truncated { .. } | BodyError::Malformed { .. } | BodyError::Abandoned => {
                 StatusCode::BAD_REQUEST
             }
+            BodyError::RequestBody { source } => source.status(),
         }
     }
 }
@@ -70,8 +77,12 @@
     source: Source,
     /// Dropped with the body; for example a counter of requests in flight.
     guard: Option<Box<dyn Any>>,
+    /// Called with the error if the body can't be read to its end.
+    on_error: Option<ErrorHandler>,
 }
 
+type ErrorHandler = Box<dyn FnOnce(&BodyError)>;
+
 enum Source {
     Empty,
     Full(Bytes),
@@ -82,24 +93,26 @@
 }
 
 impl Body {
-    /// Creates an empty body.
-    pub fn empty() -> Self {
+    fn from_source(source: Source) -> Self {
         Self {
-            source: Source::Empty,
+            source,
             guard: None,
+            on_error: None,
         }
     }
 
+    /// Creates an empty body.
+    pub fn empty() -> Self {
+        Self::from_source(Source::Empty)
+    }
+
     /// Creates a body from bytes in memory.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
         if bytes.is_empty() {
             return Self::empty();
         }
-        Self {
-            source: Source::Full(bytes),
-            guard: None,
-        }
+        Self::from_source(Source::Full(bytes))
     }
 
     /// Creates a body of unknown length that is fed by the returned sender.
@@ -110,35 +123,23 @@
     /// Creates a body that is fed by the returned sender, of `len` bytes if known.
     pub fn channel_with_len(len: Option<u64>) -> (BodySender, Body) {
         let channel = Rc::new(Channel::default());
-        let body = Self {
-            source: Source::Channel(Receiver {
-                channel: Rc::clone(&channel),
-                left: len,
-            }),
-            guard: None,
-        };
+        let body = Self::from_source(Source::Channel(Receiver {
+            channel: Rc::clone(&channel),
+            left: len,
+        }));
         (BodySender { channel }, body)
     }
 
     pub(crate) fn incoming(incoming: IncomingBody) -> Self {
-        Self {
-            source: Source::Incoming(Box::new(incoming)),
-            guard: None,
-        }
+        Self::from_source(Source::Incoming(Box::new(incoming)))
     }
 
     pub(crate) fn duplex(duplex: Duplex) -> Self {
-        Self {
-            source: Source::Duplex(Box::new(duplex)),
-            guard: None,
-        }
+        Self::from_source(Source::Duplex(Box::new(duplex)))
     }
 
     pub(crate) fn replayable(reader: ReplayReader) -> Self {
-        Self {
-            source: Source::Replayable(Box::new(reader)),
-            guard: None,
-        }
+        Self::from_source(Source::Replayable(Box::new(reader)))
     }
 
     /// Keeps `guard` until the body is dropped.
@@ -147,6 +148,12 @@
         self
     }
 
+    /// Calls `f` with the error if the body can't be read to its end.
+    pub fn on_error(mut self, f: impl FnOnce(&BodyError) + 'static) -> Self {
+        self.on_error = Some(Box::new(f));
+        self
+    }
+
     /// Returns the number of remaining bytes, if known.
     pub fn known_len(&self) -> Option<u64> {
         match &self.source {
@@ -182,6 +189,16 @@
     ///
     /// Returns an error if the body could not be read to its end. No chunk follows an error.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        let chunk = self.read_chunk().await;
+        if let Some(Err(error)) = &chunk
+            && let Some(f) = self.on_error.take()
+        {
+            f(error);
+        }
+        chunk
+    }
+
+    async fn read_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         match &mut self.source {
             Source::Empty => None,
             Source::Full(bytes) => {
--- a/crates/http/src/duplex.rs
+++ b/crates/http/src/duplex.rs
@@ -75,7 +75,10 @@
             self.upload = Upload::Ended(uploaded.writer);
             match uploaded.result {
                 Ok(()) => {}
-                Err(WriteError::Body(error)) => return Some(Err(error)),
+                Err(WriteError::Body(error)) => {
+                    let source = Box::new(error);
+                    return Some(Err(BodyError::RequestBody { source }));
+                }
                 // The next read reports a failure that truncates the response.
                 Err(error) => {
                     log::debug!(error:? = error; "the peer stopped accepting a request's body");
--- a/crates/http/tests/connection_errors.rs
+++ b/crates/http/tests/connection_errors.rs
@@ -264,6 +264,28 @@
     });
 }
 
+// If the caller's upload breaks while its response is received, the response must not count as one that
+// the backend server truncated.
+#[test]
+fn upload_that_breaks_within_a_response_is_told_from_a_truncated_response() {
+    block_on(async {
+        let upstream = UpstreamListener::start();
+        let pool = close_delimited_pool(&upstream);
+        let (tx, body) = Body::channel();
+        let head = request(Method::POST, "upload");
+        let mut sending = pin!(pool.send(head, body, SendOptions::default()));
+        let conn = advance(&mut sending, upstream.accept()).await;
+        conn.send(HEAD);
+        let response = sending.await.expect("a response");
+
+        tx.fail(BodyError::TooSlow);
+        let received = response.body.collect(1 << 20).await;
+
+        let source = Box::new(BodyError::TooSlow);
+        assert_eq!(received, Err(BodyError::RequestBody { source }));
+    });
+}
+
 /// Sends an upload through `hops` proxies, each as its own server, to a backend server that responds with
 /// `rest` and resets the connection after it. Returns all that the caller receives.
 async fn exchange_through_proxies(hops: usize, rest: &str, is_closed: bool) -> String {
