Name the orderly close in the halves of a connection

No change of behaviour: 'in order' had two meanings there, and the doc of allow_close_delimited said that truncation can't be detected, which holds for an orderly close only.

--- a/crates/gateway/src/deliver.rs
+++ b/crates/gateway/src/deliver.rs
@@ -100,9 +100,7 @@
             body,
         })
     }
-}
 
-impl Gateway {
     /// Returns a function that counts and logs a response of which the caller got only a part. One that
     /// ends because the caller's upload broke is not counted.
     fn truncation_recorder(&self, service: &ServiceName) -> impl FnOnce(&BodyError) + 'static {
--- a/crates/http/src/halves.rs
+++ b/crates/http/src/halves.rs
@@ -1,9 +1,9 @@
 //! The two halves of a connection, which share its failure.
 //!
 //! The operating system reports the failure of a connection only once, to the first call that meets it. After a
-//! write has met it, a read returns the bytes received before the failure and then zero, as if the peer had
-//! closed its side in order. So each half records the failure that it meets, and a read reports it instead
-//! of an end of the stream that the peer did not send.
+//! write has met it, reads return the bytes received before the failure and then zero, as after an orderly close
+//! by the peer. So each half records the failure that it meets, and a read reports it unless the peer's close
+//! came first.
 
 use std::cell::Cell;
 use std::io;
@@ -22,7 +22,7 @@
 struct SharedFailure(Rc<Cell<Option<i32>>>);
 
 impl SharedFailure {
-    /// Records the failure. Later ones say nothing: writes then fail with a broken pipe.
+    /// Records the failure. Later ones are not recorded, as all writes after it fail with a broken pipe.
     fn record(&self, error: &io::Error) {
         if self.0.get().is_none() {
             self.0.set(error.raw_os_error());
@@ -59,8 +59,8 @@
 }
 
 impl ReadHalf {
-    /// Reads once; returns the number of bytes and the buffer. The number is zero only if the peer closed its
-    /// side in order.
+    /// Reads once; returns the number of bytes and the buffer. The number is zero only after an orderly close by
+    /// the peer.
     ///
     /// # Errors
     ///
@@ -68,7 +68,7 @@
     pub(crate) async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
         let (result, buf) = self.half.read(buf).await;
         let result = match result {
-            Ok(0) => self.end_of_stream().map(|()| 0),
+            Ok(0) => self.check_orderly_close().map(|()| 0),
             other => other,
         };
         match &result {
@@ -78,19 +78,20 @@
         (result, buf)
     }
 
-    /// Checks that the peer closed its side before the connection failed, if it has failed.
-    fn end_of_stream(&self) -> io::Result<()> {
+    /// Returns the failure of the connection if it came before an orderly close by the peer. All received bytes
+    /// must have been read.
+    fn check_orderly_close(&self) -> io::Result<()> {
         let Some(error) = self.failure.error() else {
             return Ok(());
         };
-        let is_in_order = match error.kind() {
+        let was_closed_before = match error.kind() {
             io::ErrorKind::ConnectionReset => false,
-            // Reported for a reset if the peer had closed its side before.
+            // The operating system reports a reset after an orderly close as a broken pipe.
             io::ErrorKind::BrokenPipe => true,
             // Time-outs and unreachable peers are reported alike before and after a close.
             _ => socket::received_bytes(&self.half)? > self.received,
         };
-        match is_in_order {
+        match was_closed_before {
             true => Ok(()),
             false => Err(error),
         }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -49,8 +49,8 @@
     /// How the operating system detects dead peers.
     pub liveness: LivenessOptions,
     /// Whether a response without a length may be delimited by the close of its connection.
-    /// Truncation of such a response can't be detected, so it is refused from peers that never
-    /// send one.
+    /// If the peer ends such a response early by an orderly close, it looks complete, so it is refused
+    /// from peers that never send one.
     pub allow_close_delimited: bool,
     /// The request header that the peer echoes in its response, if any. A response that echoes
     /// another value belongs to an earlier request and is skipped.
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Appends up to about `want` bytes to the buffer; returns zero if the peer closed its side in order.
+    /// Appends up to about `want` bytes to the buffer; returns zero after an orderly close by the peer.
     ///
     /// Dropping the future loses no buffered bytes: they stay in `buf`, and only the spare
     /// capacity after them is passed to the read.
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -87,8 +87,8 @@
     ready > 0
 }
 
-/// Returns the number of bytes that the operating system has received in sequence on a connection, read or not. A
-/// close by the peer counts as one byte more (`tcpi_bytes_received` counts its FIN).
+/// Returns the number of bytes that the operating system has received in sequence on a connection, read or not
+/// (`tcpi_bytes_received`). The FIN of an orderly close counts as one byte.
 #[allow(unsafe_code)]
 pub(crate) fn received_bytes(half: &TcpOwnedReadHalf) -> io::Result<u64> {
     // SAFETY: all fields are integers, for which zero is valid.
