Let callers receive a response before their unread upload is closed

What callers saw: a response to a long upload, given before the upload was read, ended within its body.

Cause: a connection whose upload is not read is closed after its response. The close lingered only if the reader stood at the start of a message. In the middle of an upload, or with 'connection: close' while the upload still held the reader, the socket was closed at once with unread bytes, which resets the connection and drops what the send buffer still held.

Evidence: system calls of such a connection of a caller: all parts of the response up to the last chunk are sent, then

recvfrom(fd, ..., 262144) = 262144 (drains part of the upload) shutdown(fd, SHUT_WR) = 0 close(fd) = 0

Change: the close takes the reader back from wherever it is, discards input as before, leaves input beyond the limit unread, which stops the upload, and waits until the caller closes its side, for LINGER_TIMEOUT at most.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -25,7 +25,7 @@
 use crate::head::{self, HeadError};
 use crate::headers::strip_hop_by_hop;
 use crate::incoming::{BodyLimits, Framing, IncomingBody};
-use crate::loan::{ReaderLoan, ReaderSlot};
+use crate::loan::{self, ReaderLoan, ReaderSlot};
 use crate::message::Response;
 use crate::reader::{CALLER_READ, HEAD_READ, ReadError, Reader};
 use crate::server::ServerContext;
@@ -180,17 +180,25 @@
 
     /// Closes the connection so that the caller can read the response.
     ///
-    /// Closing a socket with unread bytes resets the connection, and the caller's operating
-    /// system may then discard the response before it is read. So the write side is closed
-    /// first, and further input is discarded for a short time.
+    /// Closing a socket with unread bytes resets the connection: the part of the response that the
+    /// caller's operating system has not received yet is lost, and it may discard the rest. So the
+    /// write side is closed first, and further input, such as the rest of an upload, is discarded
+    /// until the caller closes its side, for a short time.
     async fn close(mut self) {
         self.writer.shutdown().await;
-        if let ReaderSlot::Available(reader) = &mut self.slot {
-            with_timeout(LINGER_TIMEOUT, reader.discard(MAX_LINGER_BYTES)).await;
+        if let Some(mut reader) = self.slot.into_reader() {
+            with_timeout(LINGER_TIMEOUT, linger_until_closed(&mut reader)).await;
         }
     }
 }
 
+/// Discards input until the caller closes its side. Input beyond the limit is left unread, which stops the
+/// caller's upload.
+async fn linger_until_closed(reader: &mut Reader) {
+    reader.discard(MAX_LINGER_BYTES).await;
+    loan::disconnected(&reader.probe()).await;
+}
+
 /// Discards the input of a rejected caller for a short time.
 pub(crate) async fn linger(stream: &mut TcpStream) {
     let reading = async {
--- a/crates/http/src/loan.rs
+++ b/crates/http/src/loan.rs
@@ -85,6 +85,15 @@
         };
     }
 
+    /// Returns the reader, at the start of a message or within a body, if it is still usable.
+    pub(crate) fn into_reader(mut self) -> Option<Reader> {
+        self.reclaim();
+        match self {
+            ReaderSlot::Available(reader) | ReaderSlot::MidBody(reader, _) => Some(reader),
+            ReaderSlot::Lent(_) | ReaderSlot::Lost => None,
+        }
+    }
+
     /// Waits until the caller has disconnected.
     ///
     /// A disconnection shows as the end of the stream, which reading ahead finds. While no
@@ -134,7 +143,8 @@
     disconnected(&reader.probe()).await;
 }
 
-async fn disconnected(probe: &CloseProbe) {
+/// Waits until the peer has closed its side of the connection or the connection has failed.
+pub(crate) async fn disconnected(probe: &CloseProbe) {
     while !probe.is_peer_closed() {
         monoio::time::sleep(DISCONNECT_CHECK_INTERVAL).await;
     }
