Share the list of connections between the fixtures of a failing peer

No change of what is checked: the lookup of a connection in the operating system's list is split, for the next fixture that needs a column of it.

--- a/crates/http/tests/common/upstream.rs
+++ b/crates/http/tests/common/upstream.rs
@@ -97,13 +97,21 @@
 
 /// Returns whether the operating system lists an open TCP connection with this local address.
 fn is_open(local: SocketAddr) -> bool {
-    let SocketAddr::V4(address) = local else {
-        panic!("{local} is not an IPv4 address");
-    };
-    let ip = u32::from_ne_bytes(address.ip().octets());
-    let local = format!("{ip:08X}:{:04X}", address.port());
-    let connections = fs::read_to_string("/proc/self/net/tcp").expect("a list of connections");
-    // The second column is the local address.
+    let local = listed_address(local);
+    let connections = listed_connections();
     let mut lines = connections.lines();
     lines.any(|line| line.split_whitespace().nth(1) == Some(&local))
 }
+
+/// Returns the operating system's list of TCP connections. Its second and third columns are the addresses.
+fn listed_connections() -> String {
+    fs::read_to_string("/proc/self/net/tcp").expect("a list of connections")
+}
+
+fn listed_address(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else {
+        panic!("{address} is not an IPv4 address");
+    };
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    format!("{ip:08X}:{:04X}", address.port())
+}
