--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,11 +60,7 @@
                 "Requests sent again.",
                 &["service"],
             )?,
-            truncated: counter(
-                "heatherknot_truncated_responses_total",
-                "Responses of which callers got only a part.",
-                &["service"],
-            )?,
+            truncated: truncated_counter()?,
             handed_over: counter(
                 "heatherknot_handed_over_total",
                 "Requests handed to another VM.",
@@ -173,6 +169,14 @@
     IntCounterVec::new(Opts::new(name, help), labels)
 }
 
+fn truncated_counter() -> Result<IntCounterVec, prometheus::Error> {
+    counter(
+        "heatherknot_truncated_responses_total",
+        "Responses of which callers got only a part.",
+        &["service"],
+    )
+}
+
 fn gauge(name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, prometheus::Error> {
     IntGaugeVec::new(Opts::new(name, help), labels)
 }
