Read faster in the test of a response behind an unread upload

With reads of 1 KiB a millisecond apart a busy machine may take longer than the linger time of one second.

--- a/crates/http/tests/lingering_close.rs
+++ b/crates/http/tests/lingering_close.rs
@@ -19,7 +19,7 @@
 /// Receive buffer of the caller, in bytes, which holds only a part of the response.
 const RECEIVE_BUFFER: i32 = 4 * 1024;
 /// Size of one read of the caller, in bytes, and the pause after it.
-const READ: usize = 1024;
+const READ: usize = 4 * 1024;
 const READ_PAUSE: Duration = Duration::from_millis(1);
 /// Length of the upload, in bytes.
 const UPLOAD: usize = 4 << 20;
