Log what a copy and a configuration came from, and why the store is not asked

A refused request told the version that decided and the age of the copy, but neither what the copy came from nor whether the VM was waiting before it asks the store. So the hypotheses on a late configuration could not be told apart. 'request not routed' now names the revision, the sources of the copy and of the version, and the version's age. A copy that becomes stale, and a wait before the store is asked, write one line each. Two metrics tell the age and how often a copy was stale. No decision changes.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -6,6 +6,7 @@
 //! copy is stale watches the store itself, and a VM that the store rejects asks any peer.
 
 mod eras;
+mod origin;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -23,6 +24,8 @@
 use crate::mirror::{Change, Mirror, VersionedValue};
 use crate::routing_state::RoutingState;
 
+pub use origin::{CatalogOrigin, UpdateSource};
+
 /// Interval at which a VM checks whether it should watch the store.
 const IDLE_INTERVAL: Millis = Millis(200);
 /// Interval of the same check while a process that has just started waits for its first update.
@@ -61,6 +64,13 @@
     settle_time: Millis,
     /// The time of the newest update from the store, received directly or through peers.
     last_update_at: Cell<Option<Millis>>,
+    last_source: RefCell<UpdateSource>,
+    /// What the update comes from that is being applied.
+    applied_source: RefCell<UpdateSource>,
+    catalog_origin: RefCell<Option<CatalogOrigin>>,
+    /// Whether the present copy was logged as stale.
+    is_logged_as_stale: Cell<bool>,
+    stale_count: Cell<u64>,
     /// Whether this VM's own last store call failed. Updates may still arrive from peers.
     store_unreachable: Cell<bool>,
     settled_at: Cell<Millis>,
@@ -109,6 +119,11 @@
             routing_state,
             settle_time,
             last_update_at: Cell::new(None),
+            last_source: RefCell::default(),
+            applied_source: RefCell::default(),
+            catalog_origin: RefCell::default(),
+            is_logged_as_stale: Cell::new(false),
+            stale_count: Cell::new(0),
             store_unreachable: Cell::new(false),
             settled_at: Cell::new(Millis(0)),
             confirm_until: Cell::new(Millis(0)),
@@ -175,11 +190,13 @@
 
     /// Records that a peer answered but has no recent update from the store either. Only the first
     /// such answer after an update delays this VM's own attempts, so that they are never postponed
-    /// indefinitely.
-    pub fn record_stale_peer(&self) {
-        if self.back_off_until.get() == Millis(0) {
-            self.back_off_from_store();
+    /// indefinitely. Returns the delay, if there is one.
+    pub fn record_stale_peer(&self) -> Option<Millis> {
+        if self.back_off_until.get() != Millis(0) {
+            return None;
         }
+        self.back_off_from_store();
+        Some(self.back_off_until.get().since(self.timer.now()))
     }
 
     /// Returns whether this process has just started and still waits for its peers to send the
@@ -266,6 +283,7 @@
         let mut failures = 0;
         let mut must_read_all = false;
         loop {
+            self.log_if_stale();
             if !self.should_watch_store() {
                 self.timer.wait(self.idle_interval()).await;
                 continue;
@@ -359,12 +377,14 @@
         self.require_present_era(found.revision)?;
         let listed = found.kvs.into_iter().map(Change::from).collect();
         self.record_store_answer();
+        self.set_source(UpdateSource::Store);
         self.apply_snapshot(listed, found.revision, self.is_settled());
         Ok(())
     }
 
     fn apply_message(&self, message: WatchMessage) {
         self.record_store_answer();
+        self.set_source(UpdateSource::Store);
         let changes: Vec<Change> = message.events.into_iter().map(to_change).collect();
         self.apply_changes(changes, message.revision, self.is_settled());
     }
@@ -403,6 +423,7 @@
             matching.for_each(|change| subscriber(change));
         }
         self.routing_state.borrow_mut().apply(changes, settled);
+        self.record_catalog_origin();
         let mut mirror = self.mirror.borrow_mut();
         relevant
             .iter()
@@ -453,6 +474,7 @@
             return;
         }
         self.last_update_at.set(Some(updated_at));
+        *self.last_source.borrow_mut() = self.applied_source.borrow().clone();
         self.back_off_until.set(Millis(0));
         let quiet = last.map(|last| updated_at.since(last));
         if quiet.is_none_or(|quiet| quiet > STALE_AFTER + WATCH_READ_INTERVAL) {
--- a/crates/edge/src/lost_records.rs
+++ b/crates/edge/src/lost_records.rs
@@ -60,14 +60,12 @@
     let mirror = cx.feed.mirror();
     let keys = mirror.unconfirmed();
     let unconfirmed = keys.missing.len() + keys.returned.len();
-    cx.metrics
-        .store_copy
-        .era
-        .set(mirror.revision().era.0 as i64);
-    cx.metrics
-        .store_copy
-        .unconfirmed_keys
-        .set(unconfirmed as i64);
+    let metrics = &cx.metrics.store_copy;
+    metrics.era.set(mirror.revision().era.0 as i64);
+    metrics.unconfirmed_keys.set(unconfirmed as i64);
+    let age = cx.feed.age().unwrap_or_default();
+    metrics.age_ms.set(age.0 as i64);
+    metrics.stale.set(cx.feed.stale_count() as i64);
 }
 
 /// Returns the position of this VM among the watchers of the store.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -174,6 +174,10 @@
     pub era: IntGauge,
     /// Keys that the store has lost and that may still be written again.
     pub unconfirmed_keys: IntGauge,
+    /// Time since the state of the store that the copy reflects, in milliseconds.
+    pub age_ms: IntGauge,
+    /// Times that the copy became stale.
+    pub stale: IntGauge,
 }
 
 impl StoreCopyMetrics {
@@ -188,6 +192,14 @@
                 "heatherknot_unconfirmed_keys",
                 "Keys that the store has lost and that may still be written again",
             )?,
+            age_ms: gauge(
+                "heatherknot_copy_age_milliseconds",
+                "Time since the state of the store that the local copy reflects",
+            )?,
+            stale: gauge(
+                "heatherknot_stale_copies_total",
+                "Times that the local copy became stale",
+            )?,
         })
     }
 }
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -11,11 +11,11 @@
 use heatherknot_peer::{MethodTable, PeerError};
 use heatherknot_store::port::{StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
-use log::{debug, warn};
+use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
 
 use crate::context::EdgeContext;
-use crate::feed::Feed;
+use crate::feed::{Feed, UpdateSource};
 use crate::mirror::{Change, Mirror, UnconfirmedKeys, VersionedValue};
 use crate::packed;
 use crate::presence;
@@ -224,8 +224,8 @@
                 cx.feed.extend_peer_wait(PEER_WAIT_EXTENSION);
                 false
             }
-            Ok(_) => {
-                back_off_unless_leader(&cx);
+            Ok(peer_age) => {
+                back_off_unless_leader(&cx, source.as_ref(), peer_age);
                 true
             }
             Err(error) => {
@@ -278,18 +278,22 @@
         .net
         .call_address(at, CHANGES_METHOD, &after, opts)
         .await?;
+    cx.feed.set_source(UpdateSource::Seed(at));
     Ok(apply_answer(cx, answer, after))
 }
 
 /// Delays this VM's own attempts to reach the store, unless it is a leader: in an outage that
 /// affects peers too, only leaders of domains keep trying.
-fn back_off_unless_leader(cx: &EdgeContext) {
+fn back_off_unless_leader(cx: &EdgeContext, peer: Option<&VmName>, peer_age: Option<Millis>) {
     if !cx
         .feed_topology
         .borrow()
         .is_leader(&cx.cfg.vm, &cx.cfg.domain)
+        && let Some(wait) = cx.feed.record_stale_peer()
     {
-        cx.feed.record_stale_peer();
+        let peer = peer.map_or("a seed", VmName::as_str);
+        info!(peer, peer_age_ms:? = peer_age.map(|age| age.0), age_ms:? = cx.feed.age().map(|age| age.0), wait_ms = wait.0;
+            "not asking the store, as a peer has no recent update either");
     }
 }
 
@@ -347,6 +351,9 @@
             return request_changes_at(cx, seed).await;
         }
     };
+    if let Some(vm) = source {
+        cx.feed.set_source(UpdateSource::Vm(vm.clone()));
+    }
     Ok(apply_answer(cx, answer, after))
 }
 
--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -21,6 +21,7 @@
 use crate::call::{AdmitError, Call};
 use crate::call_selection::HeldBack;
 use crate::context::EdgeContext;
+use crate::feed::UpdateSource;
 use crate::forward::SendHistory;
 use crate::hand_over::HandOverOutcome;
 use crate::quota::meter::OverLimit;
@@ -262,8 +263,15 @@
     if let AdmitError::OverLimit(account, over) = admit_error {
         return log_over_limit(cx, id, config, account, over);
     }
+    let origin = cx.feed.catalog_origin();
+    let config_source = origin
+        .as_ref()
+        .map_or(UpdateSource::None, |origin| origin.source.clone());
     info!(id, status = response.status.as_u16(), cause, config,
-        store_age_ms = cx.feed.age().unwrap_or_default().0; "request not routed");
+        config_age_ms:? = origin.map(|origin| cx.now().since(origin.since).0),
+        config_source:% = config_source, revision:% = cx.feed.mirror().revision(),
+        store_age_ms = cx.feed.age().unwrap_or_default().0, store_source:% = cx.feed.last_source();
+        "request not routed");
 }
 
 /// Counts and logs a request that the shutdown of this VM cuts off.
