Count the age of a copy from the call that brought it

Callers got 404 for a route from a VM whose copy counted as fresh although it was not. The age was counted from the receipt of an answer: one that had waited in the buffers of a stopped process, or on its way, made an old copy look new for another 1.7 s, and peers passed that age on.

The age now counts from the time at which the store, or a peer, was asked; a peer tells how long it held its answer back, which does not count. A peer is stale from 1.4 s instead of 1.2 s, as ages now include the calls.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -330,7 +330,7 @@
             let Some(message) = watch.next().await else {
                 return Ok(());
             };
-            self.apply_message(message?);
+            self.apply_message(message?, began);
             *failures = 0;
             self.substitute_for_watchers();
             let spent = self.timer.now().since(began);
@@ -376,15 +376,13 @@
             "all keys read from the store");
         self.require_present_era(found.revision)?;
         let listed = found.kvs.into_iter().map(Change::from).collect();
-        self.record_store_answer();
-        self.set_source(UpdateSource::Store);
+        self.record_store_answer(began);
         self.apply_snapshot(listed, found.revision, self.is_settled());
         Ok(())
     }
 
-    fn apply_message(&self, message: WatchMessage) {
-        self.record_store_answer();
-        self.set_source(UpdateSource::Store);
+    fn apply_message(&self, message: WatchMessage, asked_at: Millis) {
+        self.record_store_answer(asked_at);
         let changes: Vec<Change> = message.events.into_iter().map(to_change).collect();
         self.apply_changes(changes, message.revision, self.is_settled());
     }
@@ -457,11 +455,14 @@
         self.routing_state.borrow_mut().remove_missing();
     }
 
-    fn record_store_answer(&self) {
+    /// Records an answer of the store to a call that began at `asked_at`. The answer may have waited
+    /// anywhere since, as in the buffers of a process that stood still, so nothing later is certain.
+    fn record_store_answer(&self, asked_at: Millis) {
+        self.set_source(UpdateSource::Store);
         if self.store_unreachable.replace(false) {
             info!(store:% = self.store.peer; "the store answers again");
         }
-        self.record_update(self.timer.now());
+        self.record_update(asked_at);
     }
 
     /// Records that the store's data was current at `updated_at`. After a period without any
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -41,10 +41,10 @@
 const RETRY_INTERVAL: Millis = Millis(200);
 /// The same interval while this VM's own copy is stale, so that the store counts as unavailable.
 const RETRY_INTERVAL_WHILE_STALE: Millis = Millis(300);
-/// Age of a peer's last update from the store from which that peer is avoided. Over two hops an
-/// update is up to 1.4 s old in normal operation: half a second between two reads of the watch, and
-/// one held-back answer at each hop. The age that the peer itself reports is one hold less.
-const MAX_PEER_AGE: Millis = Millis(1_200);
+/// Age of a peer's last update from the store from which that peer is avoided. The age that a peer
+/// reports is up to 1.24 s in normal operation: half a second between two reads of the watch, a call
+/// of 0.22 s, a held-back answer, and its way.
+const MAX_PEER_AGE: Millis = Millis(1_400);
 /// How long a peer that did not answer, or had nothing new, is avoided.
 const AVOID_FOR: Millis = Millis(3_000);
 /// The same period while this VM's own copy is stale. A leader that the store serves notices within
@@ -82,6 +82,9 @@
     /// Age of the newest update from the store, if there was any.
     #[serde(rename = "o")]
     age_ms: Option<Millis>,
+    /// How long the answer was held back.
+    #[serde(rename = "h", default)]
+    held_ms: Millis,
     /// Whether a missing entry means that it was deleted.
     #[serde(rename = "s")]
     settled: bool,
@@ -152,8 +155,12 @@
     if answer.is_snapshot || is_stale || ((has_keys || enters_era) && answer.age_ms.is_some()) {
         return answer;
     }
+    let began = timer.now();
     select(change.wait(), timer.wait(MAX_HOLD)).await;
-    changes_after(&feed, after, &cache)
+    Changes {
+        held_ms: timer.now().since(began),
+        ..changes_after(&feed, after, &cache)
+    }
 }
 
 fn changes_after(feed: &Feed, after: StoreRevision, cache: &RefCell<PackedCache>) -> Changes {
@@ -165,6 +172,7 @@
         era: at.era,
         is_snapshot: newer.is_none(),
         age_ms: feed.age(),
+        held_ms: Millis(0),
         settled: feed.is_settled(),
         keys: Vec::new(),
         packed: None,
@@ -273,13 +281,14 @@
 
 async fn request_changes_at(cx: &EdgeContext, at: SocketAddr) -> Result<Option<Millis>, PeerError> {
     let after = cx.feed.mirror().revision();
+    let asked_at = cx.now();
     let opts = CallOptions::idempotent(CALL_TIMEOUT);
     let answer: Changes = cx
         .net
         .call_address(at, CHANGES_METHOD, &after, opts)
         .await?;
     cx.feed.set_source(UpdateSource::Seed(at));
-    Ok(apply_answer(cx, answer, after))
+    Ok(apply_answer(cx, answer, after, asked_at))
 }
 
 /// Delays this VM's own attempts to reach the store, unless it is a leader: in an outage that
@@ -325,6 +334,7 @@
     source: Option<&VmName>,
 ) -> Result<Option<Millis>, PeerError> {
     let after = cx.feed.mirror().revision();
+    let asked_at = cx.now();
     let timeout = match cx.feed.is_awaiting_peers() {
         true => FIRST_COPY_TIMEOUT,
         false => CALL_TIMEOUT,
@@ -354,12 +364,20 @@
     if let Some(vm) = source {
         cx.feed.set_source(UpdateSource::Vm(vm.clone()));
     }
-    Ok(apply_answer(cx, answer, after))
+    Ok(apply_answer(cx, answer, after, asked_at))
 }
 
-/// Applies the answer to a request for changes `after` a revision. Returns the age of its data.
-fn apply_answer(cx: &EdgeContext, answer: Changes, after: StoreRevision) -> Option<Millis> {
-    let age = answer.age_ms;
+/// Applies the answer to a request for changes `after` a revision that was sent at `asked_at`. Returns
+/// the age of its data. What is not known to have passed at the peer may have passed before it, so it
+/// counts as part of the age.
+fn apply_answer(
+    cx: &EdgeContext,
+    answer: Changes,
+    after: StoreRevision,
+    asked_at: Millis,
+) -> Option<Millis> {
+    let on_the_way = cx.now().since(asked_at) - answer.held_ms;
+    let age = answer.age_ms.map(|age| age + on_the_way);
     if answer.era < cx.feed.mirror().revision().era {
         // The peer has not heard yet that the store has lost changes. Its answer tells nothing of the
         // store's present state, but it will hear of it soon.
