Ask the store when a copy gets old, whatever peers answer

Callers got 404 for a route more than four seconds after it had been added. A VM took a peer's old copy for an outage of the store: it stopped asking the store for 7.5 to 15 s (134 VMs), avoided the leaders of its domain for 3 s, and asked random VMs, most of which were in the same state. But the store was well; the watchers had failed. Evidence: the logs of the test, 'not asking the store, as a peer has no recent update either', wait_ms 9999, at an age of 1.48 s; its leader asked the store and had the route 0.3 s later.

Only a failed call is now taken for a failure of the store: this VM's own, or one that the answering peer reports. A VM whose copy is 1.9 s old asks the store; a head does so at 1.4 s and answers its domain before that. A peer with old data is avoided for 0.5 s, and a VM that is asking the store holds its answer until it has one. Time limits no longer add up along the chain: the bound is the age plus one call, 2.36 s, checked at build time in propagation.rs, which holds all of them. The policy of the feed has moved out of daemon.rs.

Two tests of the feed asserted the fault, that a VM stops asking the store because its peers are stale. They now assert the same times for a peer that reports a failure of the store.

--- a/crates/daemon/tests/lost_sources.rs
+++ b/crates/daemon/tests/lost_sources.rs
@@ -130,14 +130,12 @@
 /// Guards against VMs that take the old copies of their peers for an outage of the store and stop
 /// asking it.
 #[test]
-#[ignore = "known to fail"]
 fn a_route_is_served_in_time_while_the_watchers_and_other_vms_are_frozen() {
     check(Failing::Watchers(20), Failure::Frozen);
 }
 
 /// Guards against the same after a loss of most VMs.
 #[test]
-#[ignore = "known to fail"]
 fn a_route_is_served_in_time_after_most_vms_are_killed() {
     check(Failing::Watchers(55), Failure::Killed);
 }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -44,9 +44,9 @@
 use crate::settings::{Bounds, EdgeConfig};
 use crate::switches::{Mechanism, Switches};
 use crate::{
-    backpressure, call, entry_maintenance, forward, hand_over, locality_update, lookup,
-    lost_records, peer_feed, poison, presence, reachability, reply, request_limit, request_log,
-    request_work, rollout, round_trip, route_agreement, stop, upstream,
+    backpressure, call, entry_maintenance, feed_policy, forward, hand_over, locality_update,
+    lookup, lost_records, peer_feed, poison, presence, reachability, reply, request_limit,
+    request_log, request_work, rollout, round_trip, route_agreement, stop, upstream,
 };
 
 /// Interval of the periodic maintenance in [`tick`].
@@ -67,12 +67,6 @@
 /// responses wait in memory for the one before them, at most 64 KB each, so half a megabyte for
 /// each connection.
 const MAX_PIPELINED: usize = 8;
-/// Maximum interval between two attempts to reach the store by a leader of a domain that is not a
-/// watcher of the store.
-const LEADER_STORE_RETRY_INTERVAL: Millis = Millis(1_500);
-/// Upper bound of that interval for all other VMs, however many there are. A VM that learns nothing
-/// useful from its peers has to find the store again within an acceptable time.
-const MAX_STORE_RETRY_INTERVAL: Millis = Millis(15_000);
 /// Longest message between daemons, in bytes. The largest one is the copy of the store's keys of a
 /// whole deployment.
 const MAX_PEER_MESSAGE: usize = 4 << 20;
@@ -437,12 +431,7 @@
 
 fn spawn_tasks(cx: &Rc<EdgeContext>) {
     presence::refresh(cx);
-    let policy_cx = Rc::downgrade(cx);
-    let retry_cx = Rc::downgrade(cx);
-    cx.feed.set_watch_policy(
-        move || policy_cx.upgrade().is_none_or(|cx| is_watcher(&cx)),
-        move || retry_cx.upgrade().map(|cx| store_retry_interval(&cx)),
-    );
+    feed_policy::apply(cx);
     monoio::spawn(Rc::clone(&cx.feed).run());
     monoio::spawn(entry_maintenance::run(Rc::clone(cx)));
     monoio::spawn(lost_records::run(Rc::clone(cx)));
@@ -461,37 +450,6 @@
     cx.membership.run(cx.net.clone());
 }
 
-/// Returns whether this VM is a watcher of the store. Besides the watchers of the feed topology,
-/// the head of each domain is one after a start, because a domain far from the others then gets its
-/// data sooner than through another VM. Leaders substitute for watchers that receive nothing.
-fn is_watcher(cx: &EdgeContext) -> bool {
-    let topology = cx.feed_topology.borrow();
-    let me = &cx.cfg.vm;
-    let is_first_read = cx.feed.is_awaiting_peers() && topology.is_head(me, &cx.cfg.domain);
-    let is_substitute = cx.feed.is_substitute_watcher() && topology.is_leader(me, &cx.cfg.domain);
-    cx.has_read_vm_entries.get() && (topology.is_watcher(me) || is_first_read || is_substitute)
-}
-
-/// Returns the interval before the next attempt to reach a store that does not answer, for a VM
-/// that is not one of its watchers. A domain's leaders make an attempt about once a second, and all
-/// other VMs together as often as one leader. It matters little which VM makes it, since a VM that
-/// succeeds informs the others.
-fn store_retry_interval(cx: &EdgeContext) -> Millis {
-    let is_leader = cx
-        .feed_topology
-        .borrow()
-        .is_leader(&cx.cfg.vm, &cx.cfg.domain);
-    let vms = match is_leader {
-        true => 1,
-        false => presence::live_vms(cx).len() as u64,
-    };
-    let longest = LEADER_STORE_RETRY_INTERVAL
-        .0
-        .saturating_mul(vms)
-        .min(MAX_STORE_RETRY_INTERVAL.0);
-    Millis(cx.rng.borrow_mut().u64(longest / 2..=longest.max(1)))
-}
-
 /// Runs the periodic maintenance: drops backend servers whose store entries stay missing, refreshes
 /// the live VMs, updates where objects are served, and sweeps idle connections.
 async fn tick(cx: Rc<EdgeContext>) {
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -3,7 +3,8 @@
 //! A few VMs watch the store and the others request changes from them: a call on the store costs
 //! about as much as serving a request, and most changes are of no interest to other VMs. Store
 //! revisions order all changes, so it does not matter which source delivers them. A VM whose
-//! copy is stale watches the store itself, and a VM that the store rejects asks any peer.
+//! copy gets too old watches the store itself, and a VM that the store rejects asks any peer; the
+//! time limits are those of [`crate::propagation`].
 
 mod eras;
 mod origin;
@@ -22,6 +23,7 @@
 use log::{info, warn};
 
 use crate::mirror::{Change, Mirror, VersionedValue};
+use crate::propagation::{STALE_AFTER, VM_ASKS_STORE_AFTER, WATCH_READ_INTERVAL};
 use crate::routing_state::RoutingState;
 
 pub use origin::{CatalogOrigin, UpdateSource};
@@ -30,14 +32,6 @@
 const IDLE_INTERVAL: Millis = Millis(200);
 /// Interval of the same check while a process that has just started waits for its first update.
 const STARTUP_INTERVAL: Millis = Millis(20);
-/// Interval between two reads of a watch. Backend servers write about once a second each; reading
-/// less often batches their changes instead of paying one call for each. Changes reach other VMs
-/// over two hops, each of which may hold its answer back, and the total must stay below
-/// [`STALE_AFTER`], or every VM would watch the store itself.
-const WATCH_READ_INTERVAL: Millis = Millis(500);
-/// Age of the last update from which the local copy counts as stale and the store or any peer is
-/// asked.
-const STALE_AFTER: Millis = Millis(1_700);
 /// How long a process that has just started waits for its peers' copy before it reads all keys from
 /// the store itself. Where hundreds of VMs of a remote region start together, one full read for
 /// each of them would cross between regions. On a first start, a VM writes its own entry, waits for
@@ -55,6 +49,9 @@
 /// answer, or `None` once the daemon has stopped.
 type RetryInterval = Rc<dyn Fn() -> Option<Millis>>;
 
+/// Returns the age of the copy from which this VM asks the store itself.
+type AgeLimit = Rc<dyn Fn() -> Millis>;
+
 /// The local copy of the store's keys and the state that keeps it up to date.
 pub struct Feed {
     store: Store,
@@ -73,6 +70,8 @@
     stale_count: Cell<u64>,
     /// Whether this VM's own last store call failed. Updates may still arrive from peers.
     store_unreachable: Cell<bool>,
+    /// When a store call of this VM failed last.
+    store_failed_at: Cell<Option<Millis>>,
     settled_at: Cell<Millis>,
     /// Until when the writers of keys that the store has lost may write them again.
     confirm_until: Cell<Millis>,
@@ -83,6 +82,7 @@
     is_watcher: RefCell<Option<Rc<dyn Fn() -> bool>>>,
     /// Returns the interval between two attempts of a non-watcher to reach the store.
     retry_interval: RefCell<Option<RetryInterval>>,
+    age_limit: RefCell<AgeLimit>,
     /// Until when this VM does not call the store although its copy is stale.
     back_off_until: Cell<Millis>,
     /// Until when this VM may watch the store in place of watchers that receive nothing.
@@ -125,10 +125,12 @@
             is_logged_as_stale: Cell::new(false),
             stale_count: Cell::new(0),
             store_unreachable: Cell::new(false),
+            store_failed_at: Cell::new(None),
             settled_at: Cell::new(Millis(0)),
             confirm_until: Cell::new(Millis(0)),
             is_watcher: RefCell::default(),
             retry_interval: RefCell::default(),
+            age_limit: RefCell::new(Rc::new(|| VM_ASKS_STORE_AFTER)),
             back_off_until: Cell::new(Millis(0)),
             substitute_until: Cell::new(Millis(0)),
             next_change: RefCell::default(),
@@ -164,12 +166,24 @@
         self.next_change.borrow().clone()
     }
 
-    /// Returns whether this VM should call the store: it is a watcher, or its copy is stale and it
-    /// is neither waiting for peers nor backing off.
+    /// Sets the function that returns the age of the copy from which this VM asks the store itself.
+    pub fn set_age_limit(&self, age_limit: impl Fn() -> Millis + 'static) {
+        *self.age_limit.borrow_mut() = Rc::new(age_limit);
+    }
+
+    /// Returns whether this VM should call the store: it is a watcher, or its copy is too old and it
+    /// is neither waiting for peers nor backing off from a store that has failed.
     pub fn should_watch_store(&self) -> bool {
         let is_backing_off = self.timer.now() < self.back_off_until.get();
-        let has_no_source = !self.is_fresh() && !self.is_awaiting_peers() && !is_backing_off;
-        has_no_source || self.is_watcher()
+        let is_too_old = self.time_until_too_old() == Millis(0);
+        (is_too_old && !self.is_awaiting_peers() && !is_backing_off) || self.is_watcher()
+    }
+
+    /// Returns the time until the copy reaches the age from which this VM asks the store itself.
+    fn time_until_too_old(&self) -> Millis {
+        let age_limit = Rc::clone(&self.age_limit.borrow());
+        let age = self.age();
+        age.map_or(Millis(0), |age| age_limit() - age)
     }
 
     fn is_watcher(&self) -> bool {
@@ -177,9 +191,8 @@
         is_watcher.is_none_or(|is_watcher| is_watcher())
     }
 
-    /// Stops calling the store for a while, because it did not answer or because reachable peers
-    /// receive nothing from it either. In a store outage, attempts by every VM of a large fleet
-    /// cost more than their result is worth.
+    /// Stops calling the store for a while, because it failed this VM or a peer. In a store outage,
+    /// attempts by every VM of a large fleet cost more than their result is worth.
     pub fn back_off_from_store(&self) {
         let retry_interval = self.retry_interval.borrow().clone();
         let interval = retry_interval.and_then(|retry_interval| retry_interval());
@@ -188,10 +201,12 @@
             .set(until.max(self.back_off_until.get()));
     }
 
-    /// Records that a peer answered but has no recent update from the store either. Only the first
-    /// such answer after an update delays this VM's own attempts, so that they are never postponed
+    /// Records that the store failed a peer, which has no recent update either. Only the first such
+    /// answer after an update delays this VM's own attempts, so that they are never postponed
     /// indefinitely. Returns the delay, if there is one.
-    pub fn record_stale_peer(&self) -> Option<Millis> {
+    ///
+    /// That a peer's copy is old says nothing about the store: what fails may be the peer's source.
+    pub fn record_store_failure_at_peer(&self) -> Option<Millis> {
         if self.back_off_until.get() != Millis(0) {
             return None;
         }
@@ -199,6 +214,17 @@
         Some(self.back_off_until.get().since(self.timer.now()))
     }
 
+    /// Returns whether a store call of this VM has failed since the newest update of its copy.
+    pub fn has_store_failed(&self) -> bool {
+        let failed_at = self.store_failed_at.get();
+        failed_at.is_some_and(|failed_at| self.last_update_at.get() < Some(failed_at))
+    }
+
+    /// Returns whether this VM is about to get an update from the store, as far as it knows.
+    pub fn is_asking_store(&self) -> bool {
+        self.should_watch_store() && !self.has_store_failed()
+    }
+
     /// Returns whether this process has just started and still waits for its peers to send the
     /// store's content.
     pub fn is_awaiting_peers(&self) -> bool {
@@ -229,6 +255,15 @@
         }
     }
 
+    /// Returns the interval before the next check whether this VM should call the store, which is not
+    /// later than its copy gets too old.
+    fn check_interval(&self) -> Millis {
+        match self.time_until_too_old() {
+            Millis(0) => self.idle_interval(),
+            left => self.idle_interval().min(left),
+        }
+    }
+
     /// Returns whether this VM's own last store call failed.
     pub fn is_store_unreachable(&self) -> bool {
         self.store_unreachable.get()
@@ -285,7 +320,7 @@
         loop {
             self.log_if_stale();
             if !self.should_watch_store() {
-                self.timer.wait(self.idle_interval()).await;
+                self.timer.wait(self.check_interval()).await;
                 continue;
             }
             match self
@@ -485,6 +520,7 @@
     }
 
     fn record_store_failure(&self, error: &StoreError) {
+        self.store_failed_at.set(Some(self.timer.now()));
         if !self.store_unreachable.replace(true) {
             let at = self.mirror.borrow().revision();
             warn!(step:% = error.step, store:% = error.peer, error:% = error.source, held:% = at;
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -19,6 +19,7 @@
 use crate::mirror::{Change, Mirror, UnconfirmedKeys, VersionedValue};
 use crate::packed;
 use crate::presence;
+use crate::propagation::{MAX_PEER_AGE, PEER_HOLD};
 
 /// RPC method that returns the changes after a revision.
 const CHANGES_METHOD: &str = "e.changes";
@@ -27,9 +28,6 @@
 /// Number of keys from which a message is compressed. Below it, compression saves less than a
 /// kilobyte.
 const COMPRESS_FROM_KEYS: usize = 32;
-/// How long an answer is held back while there is no relevant change. Must stay well below the
-/// age at which the feed considers its copy stale and watches the store itself.
-const MAX_HOLD: Millis = Millis(400);
 /// Timeout of a request for changes.
 const CALL_TIMEOUT: Millis = Millis(1_100);
 /// Timeout of a request for the first copy of all keys, which takes longer than a few changes. One
@@ -41,16 +39,15 @@
 const RETRY_INTERVAL: Millis = Millis(200);
 /// The same interval while this VM's own copy is stale, so that the store counts as unavailable.
 const RETRY_INTERVAL_WHILE_STALE: Millis = Millis(300);
-/// Age of a peer's last update from the store from which that peer is avoided. The age that a peer
-/// reports is up to 1.24 s in normal operation: half a second between two reads of the watch, a call
-/// of 0.22 s, a held-back answer, and its way.
-const MAX_PEER_AGE: Millis = Millis(1_400);
-/// How long a peer that did not answer, or had nothing new, is avoided.
+/// How long a peer that did not answer is avoided.
 const AVOID_FOR: Millis = Millis(3_000);
 /// The same period while this VM's own copy is stale. A leader that the store serves notices within
 /// that time and informs its domain at once.
 const AVOID_FOR_WHILE_STALE: Millis = Millis(1_000);
 
+/// How long a peer is avoided whose data is stale. A head asks the store then, and answers soon.
+const AVOID_STALE_FOR: Millis = Millis(500);
+
 /// One key in a message between daemons.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireKey {
@@ -85,6 +82,9 @@
     /// How long the answer was held back.
     #[serde(rename = "h", default)]
     held_ms: Millis,
+    /// Whether a store call of this VM has failed since its newest update.
+    #[serde(rename = "f", default)]
+    store_failed: bool,
     /// Whether a missing entry means that it was deleted.
     #[serde(rename = "s")]
     settled: bool,
@@ -139,7 +139,7 @@
     });
 }
 
-/// Returns the changes after a revision. Waits up to [`MAX_HOLD`] for one if there is none.
+/// Returns the changes after a revision. Waits up to [`PEER_HOLD`] for one if there is none.
 async fn answer(
     feed: Rc<Feed>,
     timer: Timer,
@@ -150,13 +150,14 @@
     let answer = changes_after(&feed, after, &cache);
     let has_keys = answer.packed.is_some() || !answer.keys.is_empty();
     let enters_era = after.era < answer.era;
-    // A stale peer answers at once, so that the caller can ask another peer soon.
-    let is_stale = answer.age_ms.is_some_and(|age| age >= MAX_PEER_AGE);
+    // A stale peer answers at once, so that the caller can ask another peer soon, unless the store is
+    // about to answer it.
+    let is_stale = answer.age_ms.is_some_and(|age| age >= MAX_PEER_AGE) && !feed.is_asking_store();
     if answer.is_snapshot || is_stale || ((has_keys || enters_era) && answer.age_ms.is_some()) {
         return answer;
     }
     let began = timer.now();
-    select(change.wait(), timer.wait(MAX_HOLD)).await;
+    select(change.wait(), timer.wait(PEER_HOLD)).await;
     Changes {
         held_ms: timer.now().since(began),
         ..changes_after(&feed, after, &cache)
@@ -173,6 +174,7 @@
         is_snapshot: newer.is_none(),
         age_ms: feed.age(),
         held_ms: Millis(0),
+        store_failed: feed.has_store_failed(),
         settled: feed.is_settled(),
         keys: Vec::new(),
         packed: None,
@@ -225,24 +227,24 @@
             cx.timer.wait(RETRY_INTERVAL).await;
             continue;
         }
-        let is_stale = match request_changes(&cx, source.as_ref()).await {
-            Ok(Some(age)) if age < MAX_PEER_AGE => continue,
+        let avoid_for = match request_changes(&cx, source.as_ref()).await {
+            Ok(PeerData { age: Some(age), .. }) if age < MAX_PEER_AGE => continue,
             // When VMs start together, the peer may not have read the store yet.
-            Ok(None) if cx.feed.is_awaiting_peers() => {
+            Ok(PeerData { age: None, .. }) if cx.feed.is_awaiting_peers() => {
                 cx.feed.extend_peer_wait(PEER_WAIT_EXTENSION);
-                false
+                None
             }
-            Ok(peer_age) => {
-                back_off_unless_leader(&cx, source.as_ref(), peer_age);
-                true
+            Ok(data) => {
+                back_off_if_store_failed(&cx, source.as_ref(), &data);
+                Some(AVOID_STALE_FOR)
             }
             Err(error) => {
                 debug!(error:% = error; "a request for changes to a peer failed");
-                true
+                Some(avoid_for(&cx))
             }
         };
-        if let Some(vm) = source.filter(|_| is_stale) {
-            avoided.insert(vm, cx.now() + avoid_for(&cx));
+        if let (Some(vm), Some(avoid_for)) = (source, avoid_for) {
+            avoided.insert(vm, cx.now() + avoid_for);
         }
         cx.timer.wait(retry_interval(&cx)).await;
     }
@@ -279,7 +281,15 @@
     }
 }
 
-async fn request_changes_at(cx: &EdgeContext, at: SocketAddr) -> Result<Option<Millis>, PeerError> {
+/// What a peer's answer says of the store.
+struct PeerData {
+    /// Age of the data, if it was applied.
+    age: Option<Millis>,
+    /// Whether the store has failed the peer since the data.
+    store_failed: bool,
+}
+
+async fn request_changes_at(cx: &EdgeContext, at: SocketAddr) -> Result<PeerData, PeerError> {
     let after = cx.feed.mirror().revision();
     let asked_at = cx.now();
     let opts = CallOptions::idempotent(CALL_TIMEOUT);
@@ -291,18 +301,18 @@
     Ok(apply_answer(cx, answer, after, asked_at))
 }
 
-/// Delays this VM's own attempts to reach the store, unless it is a leader: in an outage that
-/// affects peers too, only leaders of domains keep trying.
-fn back_off_unless_leader(cx: &EdgeContext, peer: Option<&VmName>, peer_age: Option<Millis>) {
-    if !cx
-        .feed_topology
-        .borrow()
-        .is_leader(&cx.cfg.vm, &cx.cfg.domain)
-        && let Some(wait) = cx.feed.record_stale_peer()
-    {
-        let peer = peer.map_or("a seed", VmName::as_str);
-        info!(peer, peer_age_ms:? = peer_age.map(|age| age.0), age_ms:? = cx.feed.age().map(|age| age.0), wait_ms = wait.0;
-            "not asking the store, as a peer has no recent update either");
+/// Delays this VM's own attempts to reach the store if it has failed a peer, unless this VM is a
+/// leader: in an outage that affects peers too, only leaders of domains keep trying.
+fn back_off_if_store_failed(cx: &EdgeContext, peer: Option<&VmName>, data: &PeerData) {
+    let topology = Rc::clone(&cx.feed_topology.borrow());
+    if !data.store_failed || topology.is_leader(&cx.cfg.vm, &cx.cfg.domain) {
+        return;
+    }
+    if let Some(wait) = cx.feed.record_store_failure_at_peer() {
+        let age = |age: Option<Millis>| age.map(|age| age.0);
+        info!(peer = peer.map_or("a seed", VmName::as_str), peer_age_ms:? = age(data.age),
+            age_ms:? = age(cx.feed.age()), wait_ms = wait.0;
+            "not asking the store, as it has failed a peer");
     }
 }
 
@@ -327,14 +337,10 @@
     }
 }
 
-/// Requests changes from a VM, or from a random seed if no VM is known. Returns the age of the
-/// answer's data.
-async fn request_changes(
-    cx: &EdgeContext,
-    source: Option<&VmName>,
-) -> Result<Option<Millis>, PeerError> {
-    let after = cx.feed.mirror().revision();
+/// Requests changes from a VM, or from a random seed if no VM is known.
+async fn request_changes(cx: &EdgeContext, source: Option<&VmName>) -> Result<PeerData, PeerError> {
     let asked_at = cx.now();
+    let after = cx.feed.mirror().revision();
     let timeout = match cx.feed.is_awaiting_peers() {
         true => FIRST_COPY_TIMEOUT,
         false => CALL_TIMEOUT,
@@ -356,7 +362,10 @@
             let own = cx.cfg.listen.peers;
             let seeds: Vec<_> = cx.cfg.seeds.iter().filter(|s| **s != own).collect();
             let Some(seed) = cx.rng.borrow_mut().choice(seeds).copied() else {
-                return Ok(None);
+                return Ok(PeerData {
+                    age: None,
+                    store_failed: false,
+                });
             };
             return request_changes_at(cx, seed).await;
         }
@@ -367,14 +376,25 @@
     Ok(apply_answer(cx, answer, after, asked_at))
 }
 
-/// Applies the answer to a request for changes `after` a revision that was sent at `asked_at`. Returns
-/// the age of its data. What is not known to have passed at the peer may have passed before it, so it
-/// counts as part of the age.
+/// Applies the answer to a request for changes `after` a revision that was sent at `asked_at`.
 fn apply_answer(
     cx: &EdgeContext,
     answer: Changes,
     after: StoreRevision,
     asked_at: Millis,
+) -> PeerData {
+    let store_failed = answer.store_failed;
+    let age = apply_and_age(cx, answer, after, asked_at);
+    PeerData { age, store_failed }
+}
+
+/// Applies an answer and returns the age of its data. What is not known to have passed at the peer may
+/// have passed before it, so it counts as part of the age.
+fn apply_and_age(
+    cx: &EdgeContext,
+    answer: Changes,
+    after: StoreRevision,
+    asked_at: Millis,
 ) -> Option<Millis> {
     let on_the_way = cx.now().since(asked_at) - answer.held_ms;
     let age = answer.age_ms.map(|age| age + on_the_way);
--- a/crates/edge/tests/feed.rs
+++ b/crates/edge/tests/feed.rs
@@ -10,6 +10,7 @@
 use futures_util::{FutureExt, StreamExt, stream};
 use heatherknot_edge::feed::Feed;
 use heatherknot_edge::peer_feed::select_source;
+use heatherknot_edge::propagation::{HEAD_ASKS_STORE_AFTER, VM_ASKS_STORE_AFTER};
 use heatherknot_edge::routing_state::RoutingState;
 use heatherknot_http::Flag;
 use heatherknot_store::port::{RangeResponse, Store, StoreRevision, WatchMessage, WatchStream};
@@ -148,7 +149,7 @@
 /// During a store outage of nine seconds, attempts by each of three hundred VMs every 0.4 s would
 /// be seven thousand useless calls, each as expensive as three requests.
 #[test]
-fn a_vm_backs_off_from_the_store_if_its_peers_are_stale_too() {
+fn a_vm_backs_off_from_a_store_that_failed_a_peer() {
     let clock = TestClock::default();
     clock.advance(10_000);
     let (feed, _) = feed(&clock);
@@ -156,7 +157,7 @@
     feed.record_peer_data_age(Millis(0));
 
     clock.advance(1_300);
-    feed.record_stale_peer();
+    feed.record_store_failure_at_peer();
     clock.advance(9_000);
     assert!(
         !feed.should_watch_store(),
@@ -171,10 +172,10 @@
     );
 }
 
-/// If every answer without new data delayed a VM's own attempt once more, a VM whose peers are all
-/// rejected by the store would never find out that the store accepts it again.
+/// If every such answer delayed a VM's own attempt once more, a VM whose peers are all rejected by
+/// the store would never find out that the store accepts it again.
 #[test]
-fn stale_peers_delay_an_attempt_only_once() {
+fn failures_at_peers_delay_an_attempt_only_once() {
     let clock = TestClock::default();
     clock.advance(10_000);
     let (feed, _) = feed(&clock);
@@ -183,7 +184,7 @@
 
     clock.advance(1_300);
     for _ in 0..10 {
-        feed.record_stale_peer();
+        feed.record_store_failure_at_peer();
         assert!(!feed.should_watch_store());
         clock.advance(500);
     }
@@ -214,6 +215,26 @@
     assert!(!feed.is_fresh());
 }
 
+/// Guards against a head that asks the store only together with all VMs of its domain.
+#[test]
+fn a_head_asks_the_store_before_the_other_vms() {
+    let clock = TestClock::default();
+    clock.advance(10_000);
+    let (head, _) = feed(&clock);
+    let (other, _) = feed(&clock);
+    head.set_age_limit(|| HEAD_ASKS_STORE_AFTER);
+    head.record_peer_data_age(Millis(0));
+    other.record_peer_data_age(Millis(0));
+
+    clock.advance(HEAD_ASKS_STORE_AFTER.0 - 1);
+    assert!(!head.should_watch_store());
+    clock.advance(1);
+    assert!(head.should_watch_store() && !other.should_watch_store());
+
+    clock.advance(VM_ASKS_STORE_AFTER.0 - HEAD_ASKS_STORE_AFTER.0);
+    assert!(other.should_watch_store());
+}
+
 #[test]
 fn a_watcher_calls_the_store_even_if_its_peers_are_stale() {
     let clock = TestClock::default();
@@ -221,7 +242,7 @@
     let (feed, _) = feed(&clock);
     feed.set_watch_policy(|| true, || Some(Millis(30_000)));
 
-    feed.record_stale_peer();
+    feed.record_store_failure_at_peer();
 
     assert!(feed.should_watch_store());
 }
