Refuse an unknown route or key with 503 while the copy is stale

404 and 401 are claims about the newest configuration, and callers do not retry them. A VM without recent updates made them all the same, so callers lost requests for routes and accounts that another VM would have served. A stale copy now answers 503 with Retry-After, which states that the request has not run. Known routes are served as before.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -210,6 +210,8 @@
     NoRoute,
     /// No route matches, but the configuration has routes that could not be read.
     UnreadableRoute,
+    /// No route or client account matches, but the local copy is stale and may lack it.
+    StaleCopy,
     /// The route has no service.
     NoTarget,
     /// The request's client account could not be determined.
@@ -235,6 +237,7 @@
             Self::NoCatalog => "no configuration yet",
             Self::NoRoute => "no route takes this host and path",
             Self::UnreadableRoute => "its route may be one that can't be read",
+            Self::StaleCopy => "its route or account may have been added since the last update",
             Self::NoTarget => "the route has no service",
             Self::Unidentified(IdentifyError::NoAccount) => "it bears no key of a client account",
             Self::Unidentified(IdentifyError::UnreadableAccount) => {
@@ -278,8 +281,10 @@
     let catalog = cx.routing_state.borrow().catalog().cloned();
     let catalog = catalog.ok_or(AdmitError::NoCatalog)?;
     let route = find_route(&catalog, head).cloned();
+    let is_stale = !cx.feed.is_fresh();
     let route = route.ok_or_else(|| match catalog.has_unmatchable_routes() {
         true => AdmitError::UnreadableRoute,
+        false if is_stale => AdmitError::StaleCopy,
         false => AdmitError::NoRoute,
     })?;
     let names = &cx.dialect.headers;
@@ -287,7 +292,10 @@
         true => identify::account_named_by_peer(&catalog, &route, names, head),
         false => identify::identify(&catalog, &route, names, head),
     };
-    let account = account.map_err(AdmitError::Unidentified)?;
+    let account = account.map_err(|error| match error {
+        IdentifyError::NoAccount if is_stale => AdmitError::StaleCopy,
+        error => AdmitError::Unidentified(error),
+    })?;
     identify::set_account_header(names, head, account.as_deref());
     let regions = allowed_regions(&route, account.as_deref());
     if regions.is_empty() {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -21,7 +21,7 @@
 use crate::request_log::{self, SendRecord};
 use crate::selection::Candidate;
 
-/// `retry-after` while the daemon has no configuration.
+/// `retry-after` while the daemon has no configuration, or waits for a newer one.
 const NO_CATALOG_RETRY_AFTER: Millis = Millis(300);
 /// `retry-after` of a daemon that is about to end.
 const CUT_OFF_RETRY_AFTER: Millis = Millis(100);
@@ -115,9 +115,10 @@
         AdmitError::Unidentified(IdentifyError::NoAccount) => reply::unauthenticated(cause),
         AdmitError::OverLimit(_, over) => reply::over_limit(cause, over.retry_after),
         AdmitError::Body(error) => reply::bad_body(error.status(), cause),
-        AdmitError::NoCatalog | AdmitError::UnreadableRoute | AdmitError::NoTarget => {
-            reply::not_run(cause, NO_CATALOG_RETRY_AFTER)
-        }
+        AdmitError::NoCatalog
+        | AdmitError::StaleCopy
+        | AdmitError::UnreadableRoute
+        | AdmitError::NoTarget => reply::not_run(cause, NO_CATALOG_RETRY_AFTER),
         AdmitError::Unidentified(IdentifyError::UnreadableAccount) | AdmitError::NoRegion => {
             reply::not_run(cause, CONFIG_ERROR_RETRY_AFTER)
         }
