Refuse a response head that contains a second status line

Operators of similar systems saw a 200 with an empty or short body, framed as whole, when a server stopped within its response's head and closed. Here a head counts only with its empty line, so a head that ends by a close, a reset or a stall is an error at every byte, on new and reused connections, behind interim and late responses, and through one and two proxies: cleared by the tests of truncated_heads.rs.

Shown: where the server sends another response on the same connection after a cut head, the second one completed the first, within the reason or the value of a field. The caller got a success with the other response's body. head_is_not_completed_by_another_response failed before: 200 for 'HTTP/1.1 200 HTTP/1.1 200 OK'. A response head with a status line after its start is now malformed.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -18,6 +18,9 @@
 /// Maximum number of digits of a `content-length`, so that every accepted value fits into 64 bits.
 const MAX_LENGTH_DIGITS: usize = 18;
 
+/// Start of a status line, before the code.
+const VERSION_PREFIX: &[u8] = b"HTTP/1.1 ";
+
 /// Why a message head was refused.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -128,9 +131,27 @@
     let mut lines = lines(head);
     let first = lines.next().unwrap_or_default();
     check_status_line(first)?;
+    ensure!(
+        !has_second_status_line(head),
+        MalformedSnafu {
+            cause: "a second status line within the head"
+        }
+    );
     check_fields(lines)?.framing()
 }
 
+/// Returns whether a response head contains a status line after its start. A server that gives up
+/// within a head and sends another response on the same connection would have the second one taken
+/// for the end of the first.
+fn has_second_status_line(head: &[u8]) -> bool {
+    let rest = head.get(VERSION_PREFIX.len()..).unwrap_or_default();
+    let mut windows = rest.windows(VERSION_PREFIX.len() + 3);
+    windows.any(|window| {
+        let code = window.strip_prefix(VERSION_PREFIX);
+        code.is_some_and(|code| code.iter().all(u8::is_ascii_digit))
+    })
+}
+
 /// Splits a head at each CR LF, without the empty line at its end.
 fn lines(head: &[u8]) -> impl Iterator<Item = &[u8]> {
     let head = head.strip_suffix(b"\r\n\r\n").unwrap_or(head);
@@ -168,7 +189,7 @@
 }
 
 fn check_status_line(line: &[u8]) -> Result<(), HeadError> {
-    let Some(rest) = line.strip_prefix(b"HTTP/1.1 ") else {
+    let Some(rest) = line.strip_prefix(VERSION_PREFIX) else {
         return VersionSnafu.fail();
     };
     let (code, reason) = rest.split_at(rest.len().min(3));
--- a/crates/http/tests/common/upstream.rs
+++ b/crates/http/tests/common/upstream.rs
@@ -69,6 +69,11 @@
         (&self.stream).read_exact(&mut head).expect("a head");
     }
 
+    /// Waits for another request on the connection and reads its head.
+    pub async fn next_request(&self) {
+        self.read_head().await;
+    }
+
     /// Waits until bytes of the request's body have arrived, and leaves them unread.
     pub async fn wait_for_body(&self) {
         until(|| matches!(self.stream.peek(&mut [0]), Ok(n) if n > 0)).await;
