--- a/crates/daemon/tests/lost_sources.rs
+++ b/crates/daemon/tests/lost_sources.rs
@@ -10,6 +10,7 @@
 #[path = "../../../platform/tests/support/mod.rs"]
 mod support;
 
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use fleet::{Fleet, Refused};
@@ -114,7 +115,11 @@
     late
 }
 
+/// Plays the seeds. One fleet at a time, as a change is late as well where the processes of several
+/// fleets wait for the processor.
 fn check(failing: Failing, failure: Failure) {
+    static ONE_FLEET: Mutex<()> = Mutex::new(());
+    let _one_fleet = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
     let first = setting("HEATHERKNOT_FIRST_SEED", 1);
     let seeds = first..first + setting("HEATHERKNOT_PROPAGATION_SEEDS", DEFAULT_SEEDS);
     let late: Vec<_> = seeds
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -281,10 +281,10 @@
     let catalog = cx.routing_state.borrow().catalog().cloned();
     let catalog = catalog.ok_or(AdmitError::NoCatalog)?;
     let route = find_route(&catalog, head).cloned();
-    let is_stale = !cx.feed.is_fresh();
+    let is_stale = || !cx.feed.is_fresh();
     let route = route.ok_or_else(|| match catalog.has_unmatchable_routes() {
         true => AdmitError::UnreadableRoute,
-        false if is_stale => AdmitError::StaleCopy,
+        false if is_stale() => AdmitError::StaleCopy,
         false => AdmitError::NoRoute,
     })?;
     let names = &cx.dialect.headers;
@@ -293,7 +293,7 @@
         false => identify::identify(&catalog, &route, names, head),
     };
     let account = account.map_err(|error| match error {
-        IdentifyError::NoAccount if is_stale => AdmitError::StaleCopy,
+        IdentifyError::NoAccount if is_stale() => AdmitError::StaleCopy,
         error => AdmitError::Unidentified(error),
     })?;
     identify::set_account_header(names, head, account.as_deref());
--- a/crates/edge/src/peer_feed.rs
+++ b/crates/edge/src/peer_feed.rs
@@ -1,26 +1,28 @@
 //! Requests changes of the store's keys from peers, and answers such requests.
 
+mod wire;
+
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use futures_util::future::select;
 use heatherknot_peer::options::CallOptions;
 use heatherknot_peer::{MethodTable, PeerError};
 use heatherknot_store::port::{StoreEra, StoreRevision};
 use heatherknot_types::prelude::*;
 use log::{debug, info, warn};
-use serde::{Deserialize, Serialize};
 
 use crate::context::EdgeContext;
 use crate::feed::{Feed, UpdateSource};
-use crate::mirror::{Change, Mirror, UnconfirmedKeys, VersionedValue};
+use crate::mirror::{Change, Mirror, UnconfirmedKeys};
 use crate::packed;
 use crate::presence;
 use crate::propagation::{MAX_PEER_AGE, PEER_HOLD};
 
+use wire::{Changes, WireKey, from_wire, to_wire};
+
 /// RPC method that returns the changes after a revision.
 const CHANGES_METHOD: &str = "e.changes";
 /// The same for daemons that know revisions by their numbers only.
@@ -48,68 +50,6 @@
 /// How long a peer is avoided whose data is stale. A head asks the store then, and answers soon.
 const AVOID_STALE_FOR: Millis = Millis(500);
 
-/// One key in a message between daemons.
-#[derive(Debug, Serialize, Deserialize)]
-struct WireKey {
-    #[serde(rename = "k")]
-    key: String,
-    #[serde(rename = "r")]
-    revision: u64,
-    /// Era of the revision, unless it is that of the message.
-    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
-    era: Option<StoreEra>,
-    /// Number of the revision at which the key was created; zero if that is not known.
-    #[serde(rename = "c", default)]
-    created: u64,
-    /// `None` if the key was deleted.
-    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
-    value: Option<String>,
-}
-
-/// The changes after a revision, or all keys if the answering daemon no longer knows the deletions
-/// since then.
-#[derive(Debug, Serialize, Deserialize)]
-struct Changes {
-    #[serde(rename = "a")]
-    revision: u64,
-    #[serde(rename = "e", default)]
-    era: StoreEra,
-    #[serde(rename = "w")]
-    is_snapshot: bool,
-    /// Age of the newest update from the store, if there was any.
-    #[serde(rename = "o")]
-    age_ms: Option<Millis>,
-    /// How long the answer was held back.
-    #[serde(rename = "h", default)]
-    held_ms: Millis,
-    /// Whether a store call of this VM has failed since its newest update.
-    #[serde(rename = "f", default)]
-    store_failed: bool,
-    /// Whether a missing entry means that it was deleted.
-    #[serde(rename = "s")]
-    settled: bool,
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    keys: Vec<WireKey>,
-    /// The keys in compressed form, if there are many.
-    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
-    packed: Option<String>,
-    /// Whether keys that the store has lost may still be written again.
-    #[serde(rename = "l", default)]
-    is_confirming: bool,
-    /// Keys that exist and are missing in the store, if the receiver enters this era.
-    #[serde(rename = "lm", default, skip_serializing_if = "BTreeSet::is_empty")]
-    missing: BTreeSet<String>,
-    /// Deleted keys that are back in the store, likewise.
-    #[serde(rename = "lr", default, skip_serializing_if = "Vec::is_empty")]
-    returned: Vec<WireKey>,
-}
-
-impl Changes {
-    fn revision(&self) -> StoreRevision {
-        StoreRevision::new(self.era, self.revision)
-    }
-}
-
 /// The last compressed copy of all keys. After a restart every VM of a domain requests the same
 /// copy, and compressing it for each of them would take the domain's head one second on a tenth of
 /// a core.
@@ -478,29 +418,3 @@
     }
     true
 }
-
-/// Encodes keys for a message whose revision is in `era`.
-fn to_wire(changes: Vec<Change>, era: StoreEra) -> Vec<WireKey> {
-    let keys = changes.into_iter().map(|change| WireKey {
-        key: change.key,
-        revision: change.current.revision.number,
-        created: change.current.created,
-        era: Some(change.current.revision.era).filter(|of| *of != era),
-        value: change
-            .current
-            .value
-            .map(|v| String::from_utf8_lossy(&v).into_owned()),
-    });
-    keys.collect()
-}
-
-fn from_wire(wire: WireKey, era: StoreEra) -> Change {
-    Change {
-        key: wire.key,
-        current: VersionedValue {
-            revision: StoreRevision::new(wire.era.unwrap_or(era), wire.revision),
-            created: wire.created,
-            value: wire.value.map(Bytes::from),
-        },
-    }
-}
