Read a watch without changes again at once

Since the store holds a watch for 0.1 s only, a change of a store in which nothing else happens reached a watcher up to 0.4 s later than before. A read that brings no changes is followed by the next one after 0.1 s, so a change is seen as soon as before; reads that bring changes stay 0.5 s apart, and stores whose servers write about once a second bring some with nearly every read.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -24,7 +24,7 @@
 use log::{info, warn};
 
 use crate::mirror::{Change, Mirror, VersionedValue};
-use crate::propagation::{STALE_AFTER, VM_ASKS_STORE_AFTER, WATCH_READ_INTERVAL};
+use crate::propagation::{STALE_AFTER, STORE_HOLD, VM_ASKS_STORE_AFTER, WATCH_READ_INTERVAL};
 use crate::routing_state::RoutingState;
 
 pub use origin::{CatalogOrigin, UpdateSource};
@@ -303,11 +303,17 @@
             let Some(message) = watch.next().await else {
                 return Ok(());
             };
-            self.apply_message(message?, began);
+            let message = message?;
+            // While nothing changes, nothing is batched by a longer pause.
+            let interval = match message.events.is_empty() {
+                true => STORE_HOLD,
+                false => WATCH_READ_INTERVAL,
+            };
+            self.apply_message(message, began);
             *failures = 0;
             self.substitute_for_watchers();
             let spent = self.timer.now().since(began);
-            self.timer.wait(WATCH_READ_INTERVAL - spent).await;
+            self.timer.wait(interval - spent).await;
         }
         Ok(())
     }
--- a/crates/edge/src/propagation.rs
+++ b/crates/edge/src/propagation.rs
@@ -8,10 +8,11 @@
 
 use heatherknot_types::prelude::*;
 
-/// Interval between two reads of a watch. Backend servers write about once a second each; reading
+/// Interval between two reads of a watch, after one that brought changes. Backend servers write about once a second each; reading
 /// less often batches their changes instead of paying one call for each.
 pub const WATCH_READ_INTERVAL: Millis = Millis(500);
-/// Longest time that the store holds the answer to a watch back. What arrives later than that may
+/// Longest time that the store holds the answer to a watch back, and interval between two reads of
+/// one while there are no changes. What arrives later than that may
 /// have waited anywhere on its way, so the age of a copy includes the whole call.
 pub const STORE_HOLD: Millis = Millis(100);
 /// How long an answer to a peer is held back while there is no relevant change.
