Withhold a request from a server whose domain was evacuated since its selection

A request is selected for a server, and may then wait for a permit or a connection before it is sent. The last check before the send looked at the server's own state only, so a request selected before an evacuation reached a server of the domain after it. The check now includes the evacuation; the request is then selected anew, as for a server that is leaving.

--- a/crates/edge/src/backpressure.rs
+++ b/crates/edge/src/backpressure.rs
@@ -186,7 +186,9 @@
 
 /// Returns whether a request that was selected for a server may still be sent there. Counts it if not.
 pub(crate) fn may_send(cx: &EdgeContext, upstream: &Upstream) -> bool {
-    let may_send = upstream.accepts_requests() && !upstream.signals.is_in_backoff(cx.now());
+    let is_evacuated = cx.routing_state.borrow().is_evacuated(&upstream.domain);
+    let is_in_backoff = upstream.signals.is_in_backoff(cx.now());
+    let may_send = upstream.accepts_requests() && !is_evacuated && !is_in_backoff;
     if !may_send {
         let counter = &cx.metrics.backpressure.withheld;
         counter
