Determine the version in use anew if far more servers run another one

One entry with an odd version that a VM read before those of the other servers became the version in use, and all other servers got no requests while it stayed. A version that no rollout has put in use is replaced by one that three times as many servers run.

--- a/crates/edge/src/rollout/versions.rs
+++ b/crates/edge/src/rollout/versions.rs
@@ -21,6 +21,9 @@
 /// Assumed age of an order when the first VM receives it.
 const ORDER_AGE: Millis = Millis(100);
 
+/// How many times as many servers run another version if the version in use is determined anew.
+const MIN_MAJORITY: usize = 3;
+
 /// Which requests a server may get, by its version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum VersionRole {
@@ -387,8 +390,8 @@
         !is_target && !self.was_rolled_back(version)
     }
 
-    /// Determines the version in use if it is not known or has no servers left: the one that most
-    /// servers run.
+    /// Determines the version in use if it is not known, has no servers left, or was never rolled out and
+    /// has far fewer servers than another one: the one that most servers run.
     fn update_established(&mut self, service: &ServiceName, servers: &[Rc<Upstream>]) {
         let mut counts: BTreeMap<&VersionName, usize> = BTreeMap::new();
         for upstream in servers.iter().filter(|u| u.accepts_requests()) {
@@ -396,8 +399,15 @@
                 *counts.entry(version).or_default() += 1;
             }
         }
-        let has_servers = |version: &VersionName| counts.contains_key(version);
-        if self.established.as_ref().is_some_and(has_servers) {
+        let most = counts.values().max().copied().unwrap_or_default();
+        // Without a rollout, the version in use was determined by a count like this one, and may be that
+        // of the first entry that was read.
+        let is_by_rollout = self.order.is_some() || self.record.is_some();
+        let is_in_use = |version: &VersionName| {
+            let count = counts.get(version).copied().unwrap_or_default();
+            count > 0 && (is_by_rollout || count * MIN_MAJORITY > most)
+        };
+        if self.established.as_ref().is_some_and(is_in_use) {
             return;
         }
         let eligible = counts
