End what an odd entry of a backend server did when the server writes again

An entry that somebody wrote over a live server's stayed in force although the server went on writing its own: a start in the future made the server's entries those of an earlier run, a drain or a cold time of days was never taken back, and another address or failure domain of the same run stayed on VMs that started meanwhile. 2^32 slots drew all load, and a load report of 2^32 requests overflowed.

A claim against what is known of a server is believed once three entries over two seconds repeat it and none disagrees; late entries of an earlier time come once. Peers get all entries of a server in dispute. Entries that no server can write (port 0, an unspecified or multicast address, over 10,000 slots, empty or overlong names) are invalid, and warnings about invalid ones are limited.

--- a/crates/edge/src/backpressure.rs
+++ b/crates/edge/src/backpressure.rs
@@ -28,7 +28,10 @@
     backoff_until: Cell<Millis>,
     /// Number of requests that may be in flight while the load returns after a backoff.
     max_in_flight: Cell<Option<u32>>,
+    /// Whether it is leaving, by a response of its own.
     is_leaving: Cell<bool>,
+    /// Whether it is leaving, by its entry in the store.
+    has_leaving_entry: Cell<bool>,
 }
 
 impl RunSignals {
@@ -70,9 +73,19 @@
         !self.is_leaving.replace(true)
     }
 
+    /// Records whether the server is leaving by its entry.
+    pub fn set_leaving_entry(&self, is_leaving: bool) {
+        self.has_leaving_entry.set(is_leaving);
+    }
+
+    /// Returns whether the server is leaving by its entry.
+    pub fn has_leaving_entry(&self) -> bool {
+        self.has_leaving_entry.get()
+    }
+
     /// Returns whether the server is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.get()
+        self.is_leaving.get() || self.has_leaving_entry.get()
     }
 
     /// Returns whether the server has asked for no requests at `now`.
--- a/crates/edge/src/routing_state.rs
+++ b/crates/edge/src/routing_state.rs
@@ -1,5 +1,7 @@
 //! Routing state derived from the store's keys: routes, backend servers and evacuated domains.
 
+mod disputes;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -12,6 +14,7 @@
 use crate::backpressure::RunSignals;
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
+use crate::log_limit::LogRateLimit;
 use crate::mirror::Change;
 use crate::poison;
 use crate::registration::Registration;
@@ -21,6 +24,8 @@
 use crate::settings::Bounds;
 use crate::upstream::Upstream;
 
+use disputes::{Claim, EntryDisputes};
+
 /// Time, in addition to its configured cold time, that a cold backend server may take to report
 /// that it is cold.
 const COLD_REPORT_DELAY: Millis = Millis(3_000);
@@ -55,6 +60,10 @@
     /// What removed runs of backend servers have asked for, oldest first. A run may return, if its
     /// entry was lost while the store was down.
     removed_runs: VecDeque<(Run, Rc<RunSignals>)>,
+    /// Entries that contradict what is known of their servers.
+    disputes: EntryDisputes,
+    /// Limits the log lines about invalid entries, which anyone may write as often as they like.
+    invalid_entry_log: LogRateLimit,
     /// Whether each joining server is logged.
     logs_joins: bool,
 }
@@ -89,6 +98,8 @@
             missing: BTreeSet::new(),
             ended_runs: VecDeque::new(),
             removed_runs: VecDeque::new(),
+            disputes: EntryDisputes::default(),
+            invalid_entry_log: LogRateLimit::default(),
             logs_joins: true,
         }
     }
@@ -198,17 +209,32 @@
         let Some(upstream) = upstream.filter(|u| !u.is_presumed_cold.get()) else {
             return true;
         };
-        match (self.dialect.registration)(&change.key, value) {
+        match self.decode_server(&change.key, value) {
             Ok(reg) => {
+                let held = upstream.registration.borrow();
                 reg.cold_remaining.0 > 0
                     || reg.leaving != upstream.leaving.get()
-                    || reg.started_at != upstream.started_at
+                    || !reg.is_same_run(&held)
+                    || reg.slots != held.slots
                     || self.missing.contains(&reg.id)
+                    || self.disputes.is_open(&reg.id)
+                    || self.claim_of(&reg).is_some()
             }
             Err(_) => true,
         }
     }
 
+    /// Decodes an entry of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    fn decode_server(&self, key: &str, value: &Bytes) -> Result<Registration, String> {
+        let reg = (self.dialect.registration)(key, value)?;
+        reg.check()?;
+        Ok(reg)
+    }
+
     /// Returns the prefix of the keys of backend servers' entries.
     pub fn server_prefix(&self) -> &'static str {
         self.dialect.keys.server_prefix
@@ -227,7 +253,7 @@
             let upstream = self.upstreams.get(&UpstreamName::from(id));
             let leaving = upstream.filter(|upstream| upstream.leaving.get());
             return leaving.is_some_and(|upstream| {
-                (self.dialect.registration)(key, value)
+                self.decode_server(key, value)
                     .is_ok_and(|reg| !reg.leaving && reg.started_at == upstream.started_at)
             });
         }
@@ -319,14 +345,16 @@
             self.missing.insert(id);
             return BTreeSet::new();
         };
-        match (self.dialect.registration)(&change.key, value) {
+        match self.decode_server(&change.key, value) {
             Ok(reg) => {
                 self.missing.remove(&reg.id);
                 self.upsert(&reg)
             }
             Err(cause) => {
-                warn!(key = change.key.as_str(), revision:% = change.current.revision, cause = truncated(&cause);
-                    "a backend server's entry is invalid");
+                if self.invalid_entry_log.try_take(self.clock.now()) {
+                    warn!(key = change.key.as_str(), revision:% = change.current.revision, cause = truncated(&cause);
+                        "a backend server's entry is invalid");
+                }
                 // The entry may have been overwritten by anyone. It no longer shows that the server
                 // takes requests, so the server is removed.
                 self.missing.remove(&id);
@@ -345,28 +373,39 @@
     fn upsert(&mut self, reg: &Registration) -> BTreeSet<ServiceName> {
         let now = self.clock.now();
         let mut changed = BTreeSet::new();
-        match (self.newest_run(&reg.id), reg.started_at) {
-            (Some(_), None) => {
+        match self.claim_of(reg) {
+            None => self.disputes.settle(&reg.id, now),
+            Some(claim) if self.disputes.record(&reg.id, claim, now) => {
+                warn!(upstream:% = reg.id, service:% = reg.service, claim:? = claim;
+                    "a backend server keeps contradicting an entry under its identifier; that entry was not its own");
+                changed.extend(self.accept_claim(reg, claim));
+            }
+            Some(Claim::EarlierStart(None)) => {
                 changed.extend(self.remove(&reg.id, "its entry doesn't tell its start"));
                 return changed;
             }
-            (Some(known), Some(started_at)) if started_at < known => {
+            Some(Claim::EarlierStart(Some(_))) => {
                 info!(upstream:% = reg.id, service:% = reg.service; "ignored an entry of an earlier run");
                 return changed;
             }
-            _ => {}
+            Some(Claim::NotLeaving | Claim::NotCold) => {}
         }
         if let Some(upstream) = self.upstreams.get(&reg.id) {
-            if upstream.started_at == reg.started_at && upstream.version == reg.version {
+            if reg.is_same_run(&upstream.registration.borrow()) {
                 update_upstream(upstream, reg, now);
                 return changed;
             }
-            changed.extend(self.remove(&reg.id, "it has started again"));
+            let why = match upstream.started_at == reg.started_at {
+                true => "its entry has changed",
+                false => "it has started again",
+            };
+            changed.extend(self.remove(&reg.id, why));
         }
         let region = self.region_of(&reg.domain);
         let signals = self.take_signals_of_removed(reg);
         let mut upstream = Upstream::new(reg, region, self.pool.clone(), &self.clock);
         upstream.signals = signals.unwrap_or_default();
+        upstream.leaving.set(upstream.signals.has_leaving_entry());
         let upstream = Rc::new(upstream);
         update_upstream(&upstream, reg, now);
         if self.logs_joins {
@@ -515,11 +554,12 @@
 /// Updates a known backend server from its registration.
 fn update_upstream(upstream: &Upstream, reg: &Registration, now: Millis) {
     if reg.leaving {
-        upstream.signals.leave();
+        upstream.signals.set_leaving_entry(true);
         if !upstream.leaving.replace(true) {
             info!(upstream:% = upstream.id, service:% = upstream.service; "backend server is leaving");
         }
     }
+    *upstream.registration.borrow_mut() = reg.clone();
     upstream.slots.set(reg.slots.max(1));
     if reg.cold_remaining.0 > 0 {
         if !upstream.is_cold(now) {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -34,6 +34,8 @@
 const QUALITY_WEIGHT: f64 = 0.2;
 /// Backoff after the first failure to reach a backend server.
 const INITIAL_BACKOFF: Millis = Millis(250);
+/// Largest valid number in a server's load report.
+const MAX_REPORTED_LOAD: u32 = 1_000_000;
 /// Maximum backoff between two attempts to reach a backend server.
 const MAX_BACKOFF: Millis = Millis(4_000);
 /// Maximum number of times that the backoff doubles.
@@ -57,6 +59,8 @@
     pub role: Cell<VersionRole>,
     /// Connections to the server.
     pub pool: Pool,
+    /// Its latest registration.
+    pub registration: RefCell<Registration>,
     /// Number of requests that it processes concurrently.
     pub slots: Cell<u32>,
     /// Whether it announced that it is shutting down.
@@ -140,9 +144,10 @@
         f64::from(excess) / f64::from(slots) * service_ms
     }
 
-    /// Parses `running,waiting,slots`.
+    /// Parses `running,waiting,slots`. Numbers that no server can have are no load.
     pub fn parse(text: &str) -> Option<Self> {
-        let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
+        let number = |text: &str| text.trim().parse().ok().filter(|n| *n <= MAX_REPORTED_LOAD);
+        let mut numbers = text.split(',').map(number);
         Some(Self {
             running: numbers.next()??,
             waiting: numbers.next()??,
@@ -163,6 +168,7 @@
             version: reg.version.clone(),
             role: Cell::default(),
             pool: Pool::new(reg.address, pool, clock.clone()),
+            registration: RefCell::new(reg.clone()),
             slots: Cell::new(reg.slots.max(1)),
             leaving: Cell::new(reg.leaving),
             replaced: Cell::new(false),
