Round the ages of data up, and keep a presumed cold time when a claim is believed

Ages are told in whole milliseconds and rounded down, so two VMs with only each other's data could take each exchange for a millisecond newer, and on a detour each update is passed on at once: a busy loop and a copy that never gets old. Ages count one millisecond more, and an update without changes is passed on from 50 ms on. A drain that is taken back ended the cold time that is presumed after an evacuation as well.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -45,6 +45,8 @@
 const MAX_PEER_WAIT: Millis = Millis(10_000);
 /// How long a VM that reaches the store substitutes for watchers that receive nothing.
 const SUBSTITUTE_PERIOD: Millis = Millis(5_000);
+/// How much newer than the one before an update has to be to be passed on without changes.
+const MIN_UPDATE_GAIN: Millis = Millis(50);
 /// The longest backoff between two attempts to reach a store that does not answer.
 const MAX_BACKOFF: std::time::Duration = std::time::Duration::from_millis(400);
 
@@ -101,7 +103,7 @@
     /// Until when a source of this VM relies on it.
     relied_on_until: Cell<Millis>,
     next_change: RefCell<Flag>,
-    /// Fires with the next update from the store, even if it contains no changes.
+    /// Fires with the next update that is clearly newer, even if it contains no changes.
     next_update: RefCell<Flag>,
     /// Fires when the copy is recent again after it was old.
     next_recovery: RefCell<Flag>,
@@ -190,7 +192,7 @@
         self.next_change.borrow().clone()
     }
 
-    /// Returns a flag that fires with the next update from the store, even if it contains no changes.
+    /// Returns a flag that fires with the next update that is clearly newer, even if it contains no changes.
     pub fn next_update(&self) -> Flag {
         self.next_update.borrow().clone()
     }
@@ -506,7 +508,9 @@
             info!(quiet_ms = quiet.unwrap_or_default().0; "store updates are arriving");
             self.settled_at.set(self.timer.now() + self.settle_time);
         }
-        self.next_update.take().fire();
+        if quiet.is_none_or(|quiet| quiet >= MIN_UPDATE_GAIN) {
+            self.next_update.take().fire();
+        }
         if was_old && self.age().is_some_and(|age| age < MAX_OFFERED_AGE) {
             self.next_recovery.take().fire();
         }
--- a/crates/edge/src/peer_feed/requests.rs
+++ b/crates/edge/src/peer_feed/requests.rs
@@ -38,6 +38,9 @@
 const AVOID_FOR_WHILE_STALE: Millis = Millis(1_000);
 /// How long a peer is avoided whose data is stale. A head asks the store then, and answers soon.
 const AVOID_STALE_FOR: Millis = Millis(500);
+/// Longest time by which an age is too short, as it is told in whole milliseconds. Without it, two VMs
+/// that only have each other's data would find it a little newer with each exchange.
+const ROUNDING: Millis = Millis(1);
 
 /// What a VM requests changes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -314,7 +317,7 @@
     fn apply(&self, answer: Changes, after: StoreRevision, asked_at: Millis) -> Option<Millis> {
         let on_the_way = self.timer.now().since(asked_at) - answer.held_ms;
         let hops = answer.hops + 1;
-        let age = answer.age_ms.map(|age| age + on_the_way);
+        let age = answer.age_ms.map(|age| age + on_the_way + ROUNDING);
         if answer.era < self.feed.mirror().revision().era {
             // The peer has not heard yet that the store has lost changes. Its answer tells nothing of
             // the store's present state, but it will hear of it soon.
--- a/crates/edge/src/routing_state/disputes.rs
+++ b/crates/edge/src/routing_state/disputes.rs
@@ -21,7 +21,6 @@
 const PASS_ON_FOR: Millis = Millis(6_000);
 /// Time after which a claim that was not repeated is forgotten.
 const MAX_PAUSE: Millis = Millis(30_000);
-
 /// Longest time that a server may still count as cold after it has reported that it is not.
 const MAX_COLD_ERROR: Millis = Millis(1_000);
 
@@ -132,7 +131,9 @@
         let upstream = self.upstreams.get(&reg.id)?;
         upstream.leaving.set(reg.leaving);
         upstream.signals.set_leaving_entry(reg.leaving);
-        upstream.cold_until.set(self.clock.now());
+        if !upstream.is_presumed_cold.get() {
+            upstream.cold_until.set(self.clock.now());
+        }
         Some(upstream.service.clone())
     }
 }
