Keep an ended server deleted if a peer has told of the store's new era before

Cause: a VM that reads all keys for the first time in an era compares each key with its own of the era before. It took the era of its whole copy for that, so a VM to which a peer had told of the era first took the ended server's returned entry for one that was written again. Now the era of the key itself counts.

--- a/crates/edge/src/mirror.rs
+++ b/crates/edge/src/mirror.rs
@@ -275,9 +275,11 @@
             .collect();
         self.unconfirmed.missing.extend(unconfirmed);
         changed.iter().for_each(|change| self.insert(change));
-        let is_new_era = self.is_new_era(at);
         for change in listed {
-            let is_changed = match is_new_era {
+            // A peer may have told of the era before, so the key's own era counts and not the copy's.
+            let held = self.keys.get(&change.key);
+            let is_of_earlier_era = held.is_some_and(|held| held.current.revision.era < at.era);
+            let is_changed = match is_of_earlier_era {
                 true => self.apply_listed(&change, at),
                 false => self.apply(&change),
             };
--- a/crates/edge/tests/store_eras.rs
+++ b/crates/edge/tests/store_eras.rs
@@ -304,6 +304,21 @@
     assert_eq!(other.servers(), 0);
 }
 
+/// Guards against a VM that enters the era by a peer, then reads all keys itself, and takes a returned entry
+/// for one that was written again.
+#[test]
+fn an_ended_server_does_not_return_by_a_list_read_after_a_peer_has_told_of_the_era() {
+    let vm = vm(&[ready(30)]);
+    vm.watch(1, delete(SERVER, 51));
+    vm.feed
+        .apply_changes(Vec::new(), revision(2, RESTORED), false);
+
+    vm.restore(2, &[ready(30)]);
+    vm.end_wait();
+
+    assert_eq!(vm.servers(), 0);
+}
+
 /// Guards against removing servers whose entries are lost before they can write them again.
 #[test]
 fn a_lost_server_is_kept_until_it_had_time_to_write_its_entry() {
