Try again to start the daemons of a case on other ports

A free port may be taken by another process before its daemon listens on it; the case could not run then.

--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -12,7 +12,9 @@
 use crate::record::Record;
 use crate::store::Store;
 
-const START_LIMIT: Duration = Duration::from_secs(20);
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Number of attempts to start the daemons. A free port may be taken before its daemon listens on it.
+const START_ATTEMPTS: usize = 3;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -68,36 +70,30 @@
 
 impl Fleet {
     /// Starts a daemon for each of `zones`, each with its region, and waits until all are ready.
-    ///
+    pub fn start(store: &Store, zones: &[(&str, &str)], record: &Record) -> Option<Self> {
+        (0..START_ATTEMPTS).find_map(|_| Self::try_start(store, zones, record))
+    }
+
     /// The settings are those that the platform would fill into the project's template for a small
     /// installation.
-    pub fn start(store: &Store, zones: &[(&str, &str)], record: &Record) -> Option<Self> {
+    fn try_start(store: &Store, zones: &[(&str, &str)], record: &Record) -> Option<Self> {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let addresses: Vec<Addresses> = zones.iter().map(|_| Addresses::free()).collect();
-        let seeds: Vec<String> = addresses
-            .iter()
-            .take(3)
-            .map(|at| format!("\"{}\"", at.peers))
-            .collect();
-        let mut domains: Vec<String> = zones
-            .iter()
+        let seeds = addresses.iter().take(3);
+        let seeds: Vec<String> = seeds.map(|at| format!("\"{}\"", at.peers)).collect();
+        let domains = zones.iter();
+        let domains: Vec<String> = domains
             .map(|(zone, region)| format!("\"{zone}\":\"{region}\""))
             .collect();
-        domains.dedup();
         let mut fleet = Self {
             daemons: Vec::new(),
             folder,
         };
         for (n, ((zone, _), at)) in zones.iter().zip(&addresses).enumerate() {
             let name = format!("front-{zone}-{}", n + 1);
-            let settings = settings(
-                &name,
-                zone,
-                at,
-                (&seeds.join(","), &domains.join(",")),
-                store,
-            );
+            let lists = (seeds.join(","), domains.join(","));
+            let settings = settings(&name, zone, at, (&lists.0, &lists.1), store);
             let process = fleet.spawn(&name, &settings)?;
             fleet.daemons.push(Daemon {
                 name,
@@ -108,7 +104,9 @@
         }
         let until = Instant::now() + START_LIMIT;
         while !fleet.daemons.iter().all(|daemon| is_ready(daemon.ready)) {
-            if Instant::now() > until {
+            let has_ended =
+                |daemon: &mut Daemon| daemon.process.try_wait().ok().flatten().is_some();
+            if Instant::now() > until || fleet.daemons.iter_mut().any(has_ended) {
                 return None;
             }
             thread::sleep(Duration::from_millis(50));
