--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,7 +2,6 @@
 
 mod rolling_restart;
 mod slow_reader;
-mod stalled_response;
 
 use std::path::Path;
 use std::thread;
@@ -23,7 +22,6 @@
     match case {
         "rolling-restart" => rolling_restart::run(setting),
         "slow-reader" => slow_reader::run(setting),
-        "stalled-response" => stalled_response::run(setting),
         _ => Verdict::CouldNotRun("there is no such case"),
     }
 }
