--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod killed_home;
 mod rolling_restart;
 mod slow_reader;
 
@@ -20,6 +21,7 @@
         return Verdict::CouldNotRun("target/release/heatherknotd is missing");
     }
     match case {
+        "killed-home" => killed_home::run(setting),
         "rolling-restart" => rolling_restart::run(setting),
         "slow-reader" => slow_reader::run(setting),
         _ => Verdict::CouldNotRun("there is no such case"),
--- a/review/standins-2/cases/rolling_restart.rs
+++ b/review/standins-2/cases/rolling_restart.rs
@@ -59,6 +59,7 @@
                 host: "confirm.example",
                 path: format!("/confirm/{n}"),
                 budget: BUDGET,
+                object: None,
                 body: vec![b'b'; 300],
             };
             client::send(front, request, record)
--- a/review/standins-2/cases/slow_reader.rs
+++ b/review/standins-2/cases/slow_reader.rs
@@ -54,6 +54,7 @@
                 host: "upload.example",
                 path: format!("/upload/{n}"),
                 budget: BUDGET,
+                object: None,
                 body: vec![b'b'; BODY],
             };
             client::send(front, request, record)
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -17,6 +17,8 @@
     pub path: String,
     /// How long the client waits.
     pub budget: Duration,
+    /// The object that the request concerns, if any.
+    pub object: Option<String>,
     pub body: Vec<u8>,
 }
 
@@ -72,11 +74,16 @@
         host,
         path,
         budget,
+        object,
         body,
     } = request;
+    let cookie = object
+        .as_ref()
+        .map(|object| format!("Cookie: Affinity-Key={object}\r\n"));
     let mut bytes = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nRequest-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n",
+        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nRequest-Deadline-Ms: {}\r\n{}Content-Length: {}\r\n\r\n",
         budget.as_millis(),
+        cookie.unwrap_or_default(),
         body.len()
     )
     .into_bytes();
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -20,6 +20,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 /// A daemon process.
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -42,6 +42,15 @@
             .map(|(at, _)| *at)
     }
 
+    /// Returns the latest line that begins with `start` and contains `part`.
+    pub fn last_with(&self, start: &str, part: &str) -> Option<String> {
+        let lines = self.lines.lock().unwrap();
+        let mut texts = lines.iter().rev().map(|(_, line)| line);
+        texts
+            .find(|line| line.starts_with(start) && line.contains(part))
+            .cloned()
+    }
+
     /// Writes the lines to a file.
     pub fn write(&self, path: &Path) {
         let lines = self.lines.lock().unwrap();
